Take up a new configuration on SIGHUP: watch and notices move at once

Change: the file is read again, a bad one is logged and the old address kept. Discovery drops what is under way, asks the new address for a whole list and keeps the old list until it comes; a notice unanswered at the old address goes to the new one. A kept connection is used again only for the address that it leads to. Checked: main.rs registered TERM and INT alone; config.rs put EDGE_DISCOVERY before the file, which after a reload names an address that is closed. A restart after a reload now takes the file's word, the newer of the two. Test: a bad file, the move, an unanswered notice, the old list held, and a restart under the old environment.

--- a/src/bin/nickelshed/client.rs
+++ b/src/bin/nickelshed/client.rs
@@ -83,6 +83,7 @@
 
 /// One HTTP/1.1 connection. Dropping it closes the socket at once, whatever is under way.
 pub struct Connection {
+    at: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
     written: Rc<Cell<u64>>,
@@ -109,16 +110,16 @@
                 tracing::debug!(%error, "a connection broke");
             }
         });
-        Ok(Connection { sender, task, written, idle_since: Instant::now(), _counted: None })
+        Ok(Connection { at, sender, task, written, idle_since: Instant::now(), _counted: None })
     }
 
-    /// The connection that was kept from the exchange before, if it still stands.
+    /// The connection that was kept from the exchange before, if it still stands and leads to that address.
     pub async fn kept_or_new(
         kept: &mut Option<Connection>,
         at: SocketAddr,
         dial: Duration,
     ) -> io::Result<Connection> {
-        match kept.take().filter(Connection::is_open) {
+        match kept.take().filter(|link| link.at == at && link.is_open()) {
             Some(link) => Ok(link),
             None => Connection::open(at, dial).await,
         }
--- a/src/bin/nickelshed/config.rs
+++ b/src/bin/nickelshed/config.rs
@@ -1,4 +1,4 @@
-//! The environment and config.json, read once at the start.
+//! The environment and config.json: read at the start, and the file once more on SIGHUP.
 use crate::discovery::List;
 use leadfold::api::Settings;
 use leadfold::settings::{self, Around};
@@ -35,19 +35,40 @@
     pub around: Around,
 }
 
-pub fn read() -> Result<Config, String> {
-    let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
+fn var(name: &str) -> Option<String> {
+    std::env::var(name).ok().filter(|v| !v.is_empty())
+}
+
+fn file() -> Result<(String, File), String> {
     let path = var("EDGE_CONFIG").ok_or("EDGE_CONFIG is not set")?;
     let text = std::fs::read_to_string(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
-    let file: File = serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))?;
-    let address = |name: &str, other: Option<String>| {
-        let text = var(name).or(other).ok_or(format!("{name} is not set"))?;
-        text.parse::<SocketAddr>().map_err(|e| format!("{name} is no address: {text}: {e}"))
-    };
+    let file = serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))?;
+    Ok((path, file))
+}
+
+/// `first` if it is there, else `second`.
+fn address(name: &str, first: Option<String>, second: Option<String>) -> Result<SocketAddr, String> {
+    let text = first.or(second).ok_or(format!("{name} is not set"))?;
+    text.parse().map_err(|e| format!("{name} is no address: {text}: {e}"))
+}
+
+/// The file may be replaced while the sender runs, its environment can't be: a process that is started again
+/// after that would go back to an address that is served no more, so the file's word comes first.
+fn discovery(file: Option<String>) -> Result<SocketAddr, String> {
+    address("EDGE_DISCOVERY", file, var("EDGE_DISCOVERY"))
+}
+
+/// Discovery's address as the file has it now; its other keys take effect at the next start.
+pub fn reread() -> Result<SocketAddr, String> {
+    discovery(file()?.1.discovery)
+}
+
+pub fn read() -> Result<Config, String> {
+    let (path, file) = file()?;
     let (settings, around) = settings::read(&file.settings).map_err(|e| format!("{path}: settings: {e}"))?;
     Ok(Config {
-        listen: address("EDGE_LISTEN", file.listen)?,
-        discovery: address("EDGE_DISCOVERY", file.discovery)?,
+        listen: address("EDGE_LISTEN", var("EDGE_LISTEN"), file.listen)?,
+        discovery: discovery(file.discovery)?,
         state: var("EDGE_STATE").ok_or("EDGE_STATE is not set")?.into(),
         seed: file.seed.as_ref().map_or(0, seed),
         limits: file.limits,
--- a/src/bin/nickelshed/discovery.rs
+++ b/src/bin/nickelshed/discovery.rs
@@ -6,7 +6,7 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
 #[derive(Clone, Debug)]
@@ -77,18 +77,28 @@
     Ok(list)
 }
 
-/// Never ends: while discovery is silent the sender goes on with the list it has.
-pub async fn follow(at: SocketAddr, core: mpsc::Sender<Input>) {
+/// Never ends: while discovery is silent the sender goes on with the list it has. Where its address changes,
+/// what is under way at the old one is dropped at once, and the new one is first asked for a whole list.
+pub async fn follow(mut place: watch::Receiver<SocketAddr>, core: mpsc::Sender<Input>) {
     let mut connection = None;
     let mut known: Option<u64> = None;
     let mut failing = false;
     loop {
+        let at = *place.borrow_and_update();
         let path = known.map_or("/v1/servers".to_string(), |generation| {
             format!("/v1/servers?index={generation}&wait={}", WAIT.as_millis())
         });
         let allowed = if known.is_some() { WAIT + GRACE } else { GRACE };
-        match timeout(allowed, get(&mut connection, at, &path)).await.unwrap_or(Err("is silent".into())) {
-            Ok(list) => {
+        let asked = tokio::select! {
+            biased;
+            Ok(()) = place.changed() => None,
+            asked = timeout(allowed, get(&mut connection, at, &path)) => {
+                Some(asked.unwrap_or(Err("is silent".into())))
+            }
+        };
+        match asked {
+            None => (connection, known) = (None, None),
+            Some(Ok(list)) => {
                 if std::mem::take(&mut failing) {
                     tracing::info!("discovery answers again");
                 }
@@ -103,7 +113,7 @@
                     sleep(PAUSE).await;
                 }
             }
-            Err(error) => {
+            Some(Err(error)) => {
                 if !std::mem::replace(&mut failing, true) {
                     tracing::warn!(%error, "discovery fails; going on with the list held");
                 }
--- a/src/bin/nickelshed/main.rs
+++ b/src/bin/nickelshed/main.rs
@@ -7,11 +7,12 @@
 mod notices;
 mod server;
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, timeout, Instant};
@@ -46,10 +47,24 @@
     }
 }
 
+/// SIGHUP: the file of the configuration was replaced. A bad one is no reason to end, or to lose what works.
+async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
+    while hangup.recv().await.is_some() {
+        match config::reread() {
+            Ok(address) => {
+                tracing::info!(%address, "the configuration was read again");
+                discovery.send_if_modified(|old| std::mem::replace(old, address) != address);
+            }
+            Err(error) => tracing::error!(%error, "the old configuration is kept"),
+        }
+    }
+}
+
 async fn run() -> Result<(), String> {
     let mut config = config::read()?;
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("signals: {e}"))?;
+    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     let journal = journal::Journal::open(&config.state, config.limits.disk_mb, config.settings.max_attempts)
         .map_err(|e| format!("journal in {}: {e}", config.state.display()))?;
     let (core_in, inbox) = mpsc::channel(INBOX);
@@ -62,8 +77,10 @@
     let client = client::Client::new(core_in.clone(), settings.dial_timeout, settings.idle_close, calls);
     let client = Rc::new(client);
     spawn_local(client.clone().keep_pool());
-    spawn_local(discovery::follow(config.discovery, core_in.clone()));
-    spawn_local(notices::run(config.discovery, notices, core_in.clone()));
+    let (place, discovery) = watch::channel(config.discovery);
+    spawn_local(reload(hangup, place));
+    spawn_local(discovery::follow(discovery.clone(), core_in.clone()));
+    spawn_local(notices::run(discovery, notices, core_in.clone()));
     let (listen, known) = (config.listen, std::mem::take(&mut config.known));
     let around = config.around.clone();
     let effects = settings.classes.iter().map(|c| c.effect).collect();
--- a/src/bin/nickelshed/notices.rs
+++ b/src/bin/nickelshed/notices.rs
@@ -5,7 +5,7 @@
 use serde_json::json;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
 pub struct Notice {
@@ -43,7 +43,11 @@
 
 /// Sends what comes, all that waits in one request, and again until it is answered 204. The queue holds no
 /// more than the journal does, which bounds it.
-pub async fn run(at: SocketAddr, mut queue: mpsc::UnboundedReceiver<Notice>, core: mpsc::Sender<Input>) {
+pub async fn run(
+    mut place: watch::Receiver<SocketAddr>,
+    mut queue: mpsc::UnboundedReceiver<Notice>,
+    core: mpsc::Sender<Input>,
+) {
     let mut connection = None;
     let mut waiting: Vec<Notice> = Vec::new();
     let mut pause = FIRST_PAUSE;
@@ -69,7 +73,16 @@
             body.push_str(&line);
             count += 1;
         }
-        let result = timeout(PATIENCE, post(&mut connection, at, body)).await;
+        let at = *place.borrow_and_update();
+        let result = tokio::select! {
+            biased;
+            // What the old address has not answered goes to the new one at once; a second notice does no harm.
+            Ok(()) = place.changed() => {
+                connection = None;
+                continue;
+            }
+            result = timeout(PATIENCE, post(&mut connection, at, body)) => result,
+        };
         match result.unwrap_or(Err("is silent".into())) {
             Ok(400) if count > 1 => single = count,
             Ok(status @ (204 | 400)) => {
@@ -85,8 +98,10 @@
             }
             other => {
                 tracing::warn!(?other, "notices don't get through");
-                sleep(pause).await;
-                pause = (2 * pause).min(LONGEST_PAUSE);
+                tokio::select! {
+                    Ok(()) = place.changed() => connection = None,
+                    () = sleep(pause) => pause = (2 * pause).min(LONGEST_PAUSE),
+                }
             }
         }
     }
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -223,6 +223,10 @@
         self.state.0.lock().unwrap().2 = true;
     }
 
+    pub fn speak(&self) {
+        self.state.0.lock().unwrap().2 = false;
+    }
+
     pub fn notices(&self) -> Vec<Value> {
         notices(&self.peer.seen())
     }
@@ -305,9 +309,24 @@
         files.filter_map(|f| f.metadata().ok()).map(|m| m.len().div_ceil(512) * 512).sum()
     }
 
+    fn config_path(&self) -> PathBuf {
+        self.folder.join("config.json")
+    }
+
+    /// Replaces the file of the configuration and tells the process so.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(self.config_path(), text).unwrap();
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, signal: &str) {
+        let id = self.child.as_ref().unwrap().id().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+    }
+
     pub fn restart(&mut self) {
         assert!(self.child.is_none(), "still running");
-        let config = self.folder.join("config.json");
+        let config = self.config_path();
         std::fs::write(&config, self.config.to_string()).unwrap();
         let log =
             std::fs::OpenOptions::new().create(true).append(true).open(self.folder.join("log")).unwrap();
@@ -376,8 +395,7 @@
     }
 
     pub fn terminate(&mut self) {
-        let id = self.child.as_ref().unwrap().id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+        self.signal("-TERM");
     }
 
     pub fn wait_exit(&mut self) -> ExitStatus {
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -659,3 +659,43 @@
     assert_eq!(endpoint.wait_for("largest", 1)[0].body.len(), 64 << 10);
     settle(&node, &endpoint);
 }
+
+#[test]
+fn a_new_configuration_moves_watch_and_notices_and_holds_over_a_restart() {
+    let endpoint = Peer::new(|_| ok());
+    let closed = instance("e-0", endpoint.address, 8, "plain", "Terminating");
+    let old = Discovery::new(json!([ready("e-1", endpoint.address, 7), closed]));
+    let mut node = Node::start(&old);
+    // The old platform reads a notice and never answers it.
+    old.peer.also(|r| r.first.starts_with("POST").then_some(Reply::Hang));
+    assert_eq!(node.hand_in("order", "unanswered", 8, 300, b"x"), 202);
+    old.wait_notice("unanswered");
+
+    // A file that can't be read, or names no address, changes nothing.
+    node.reload("{");
+    node.until("the bad file is logged", || node.log().contains("the old configuration is kept"));
+    assert_eq!(node.hand_in("order", "as before", 7, 16_000, b"x"), 202);
+    endpoint.wait_for("as before", 1);
+
+    let new = Discovery::new(json!([]));
+    new.silence();
+    node.config["discovery"] = json!(new.peer.address.to_string());
+    node.reload(&node.config.to_string());
+    let whole = |s: &[Request]| s.iter().filter(|r| r.first == "GET /v1/servers HTTP/1.1").count();
+    new.peer.wait("a whole list asked for at the new address", |s| whole(s) > 0);
+    // No list has come from there yet: the old one holds.
+    assert_eq!(node.hand_in("order", "old list", 7, 16_000, b"x"), 202);
+    endpoint.wait_for("old list", 1);
+    assert_eq!(new.wait_notice("unanswered")["outcome"], "handed_back");
+    new.set(json!([ready("e-1", endpoint.address, 7), ready("e-2", endpoint.address, 9)]));
+    new.speak();
+    node.until("the new list is told", || node.hand_in("order", "new list", 9, 16_000, b"x") == 202);
+    endpoint.wait_for("new list", 1);
+
+    // The environment still names the old address.
+    node.kill();
+    let (before, asked) = (old.peer.connections(), whole(&new.peer.seen()));
+    node.restart();
+    new.peer.wait("a whole list after the restart", |s| whole(s) > asked);
+    assert_eq!(old.peer.connections(), before);
+}
