Bound clients in time, bytes and connections, and endpoints' answers likewise; forget what is gone

Causes, from the probe before and by reading: (1) connections that asked once and stay filled the bound on clients (116 of 256 descriptors), and all others were told 503; silent ones stood for 75 s, bodies for 5 s. (2) hyper drops Content-Length beside Transfer-Encoding, whichever comes first (its parser was read), so a request with both can't be told from a chunked one. (3) a destination that no list named, a deadline past its class's, and another message under an open id were taken on. (4) a single call was only delivered on a head that parses, and one whose head never ends held its slot until its limit; bytes behind an answer could wait in the socket when the next call was written. (6) names, endpoints and places only grew. Changes: a socket wrapper (wire.rs) for both sides, which hears, counts and looks into the system's buffer before a request's first byte; at the bound the longest idle connection goes, else 503 and a close, and none waits unaccepted; 2.5 s for head and body; any Transfer-Encoding gets 411 and a close; one budget of bytes from memory_mb; 500 ms for a head once it has begun, 1 s for a batch's answer. client.rs is split into connections and calls. Bodies are copied out of the library's 8 KiB buffers.

--- a/src/bin/nickelshed/config.rs
+++ b/src/bin/nickelshed/config.rs
@@ -9,6 +9,7 @@
 
 #[derive(Deserialize)]
 pub struct Limits {
+    pub memory_mb: f64,
     pub sockets: usize,
     pub disk_mb: f64,
 }
--- a/src/bin/nickelshed/core.rs
+++ b/src/bin/nickelshed/core.rs
@@ -1,5 +1,5 @@
 //! The one owner of the module: events in, one round of decisions, actions out. It decides nothing itself.
-use crate::client::{self, Cancel, Client, Member};
+use crate::calls::{self, Cancel, Client, Member};
 use crate::config::Config;
 use crate::discovery::List;
 use crate::journal::{wall_ms, Begun, Ending, Journal, Record, Taken};
@@ -20,6 +20,10 @@
     /// Handing it in again is harmless; after how long, if that is known.
     Refused(Option<Duration>),
     Failed,
+    /// No list has named its destination.
+    NoDestination,
+    /// Its id is that of another message that is held.
+    Conflict,
 }
 
 pub enum Input {
@@ -49,6 +53,14 @@
     attempts: u32,
 }
 
+/// An endpoint that a list has named.
+struct Known {
+    name: String,
+    kind: usize,
+    /// Since when it takes nothing new.
+    closed: Option<Instant>,
+}
+
 struct Offered {
     taken: Rc<Taken>,
     /// More than one where the same message came twice in a round.
@@ -81,12 +93,15 @@
     notices: mpsc::UnboundedSender<Notice>,
     start: Instant,
     names: HashMap<String, EndpointId>,
-    /// Name and kind by number.
-    endpoints: Vec<(String, usize)>,
+    endpoints: HashMap<EndpointId, Known>,
+    /// Numbers are never used again: calls and the module may know an endpoint longer than the list.
+    next_endpoint: EndpointId,
+    /// All destinations that a list has named: as many as there are customers' systems.
+    dests: HashSet<DestId>,
     held: BTreeMap<u64, Held>,
     traces: HashMap<String, u64>,
     noticing: HashSet<u64>,
-    calls: HashMap<(u64, u32), Rc<Cancel>>,
+    calls: HashMap<(u64, u32), (EndpointId, Rc<Cancel>)>,
     /// Events of the core's own making, for the next round.
     next: Vec<Event>,
     timer: Option<Ns>,
@@ -99,6 +114,8 @@
 const CLOCK_START: Ns = 1_000_000 * SECOND;
 /// Events of one round at most, so that a flood of them does not hold up the answers.
 const ROUND: usize = 512;
+/// For so long after its last use an endpoint is remembered, as long as the module does: new ones come all day.
+const FORGET: Duration = Duration::from_secs(60);
 const FIRST_LIST: Duration = Duration::from_millis(300);
 
 impl Core {
@@ -120,7 +137,9 @@
             notices,
             start: Instant::now(),
             names: HashMap::new(),
-            endpoints: Vec::new(),
+            dests: HashSet::new(),
+            endpoints: HashMap::new(),
+            next_endpoint: 0,
             held: BTreeMap::new(),
             traces: HashMap::new(),
             noticing: HashSet::new(),
@@ -240,8 +259,10 @@
     }
 
     fn list(&mut self, list: List, whole: bool) -> Event {
+        let now = Instant::now();
         if whole {
-            self.client.withdraw_all();
+            self.client.pool.withdraw_all();
+            self.endpoints.values_mut().for_each(|known| _ = known.closed.get_or_insert(now));
         }
         let mut entries = Vec::new();
         for instance in list.instances() {
@@ -251,22 +272,41 @@
                 // Also what is not known: it gets nothing new.
                 _ => Condition::Draining,
             };
-            let next = self.endpoints.len() as EndpointId;
-            let endpoint = *self.names.entry(instance.name.clone()).or_insert(next);
+            let endpoint = *self.names.entry(instance.name.clone()).or_insert_with(|| {
+                self.next_endpoint += 1;
+                self.next_endpoint
+            });
             let kind = position(&self.around.kinds, &instance.kind).unwrap_or(usize::MAX);
-            if endpoint == next {
-                self.endpoints.push((instance.name.clone(), kind));
-            }
             let zone = position(&self.around.zones, &instance.zone).unwrap_or(usize::MAX);
             let separate = self.settings.kinds.get(kind).is_some_and(|k| k.separate_routes);
             let ready = condition == Condition::Ready;
-            self.client.place(endpoint, instance.address, instance.dest, separate, ready);
+            let new = || Known { name: instance.name.clone(), kind, closed: None };
+            let known = self.endpoints.entry(endpoint).or_insert_with(new);
+            known.kind = kind;
+            known.closed = if ready { None } else { known.closed.or(Some(now)) };
+            self.client.pool.place(endpoint, instance.address, instance.dest, separate, ready);
             let (dest, hint) = (instance.dest, instance.weight);
+            self.dests.insert(dest);
             entries.push(Entry { endpoint, dest, kind, zone, condition, hint });
         }
+        self.forget_endpoints(now);
         Event::List { whole, entries }
     }
 
+    fn forget_endpoints(&mut self, now: Instant) {
+        let pool = &self.client.pool;
+        let busy: HashSet<EndpointId> = self.calls.values().map(|(endpoint, _)| *endpoint).collect();
+        self.endpoints.retain(|id, known| {
+            let keep = known.closed.is_none_or(|at| now - at < FORGET) || busy.contains(id);
+            if keep || !pool.is_done_with(*id) {
+                return true;
+            }
+            pool.forget(*id);
+            self.names.remove(&known.name);
+            false
+        });
+    }
+
     /// One round: all that has come, the module's answer to it, one write, then the actions.
     fn round(&mut self, inputs: Vec<Input>, events: Vec<Event>) {
         let at = Instant::now();
@@ -312,8 +352,9 @@
         for action in actions {
             match action {
                 Action::Send { id, endpoint, limit, by } => {
-                    let Some(held) = self.held.get_mut(&id) else { continue };
-                    let (name, kind) = self.endpoints[endpoint as usize].clone();
+                    let known = self.endpoints.get(&endpoint);
+                    let (Some(held), Some(known)) = (self.held.get_mut(&id), known) else { continue };
+                    let (name, kind) = (known.name.clone(), known.kind);
                     let attempt = held.attempts;
                     let record = Begun { number: attempt, at: wall, endpoint: name, never_ran: false };
                     begun.push(Record::Begun(id, record));
@@ -342,14 +383,14 @@
                     None => endings.push((id, Ending::GivenUp)),
                 },
                 Action::Cancel { id, attempt } => {
-                    if let Some(cancel) = self.calls.get(&(id, attempt)) {
+                    if let Some((_, cancel)) = self.calls.get(&(id, attempt)) {
                         cancel.set();
                     }
                 }
                 Action::Probe { endpoint } => {
                     tokio::task::spawn_local(self.client.clone().probe(endpoint));
                 }
-                Action::Close { endpoint } => self.client.close_idle(endpoint),
+                Action::Close { endpoint } => self.client.pool.close_idle(endpoint),
                 Action::Timer { at } => self.timer = Some(self.timer.map_or(at, |t| t.min(at))),
             }
         }
@@ -378,7 +419,7 @@
             }
             for (endpoint, members) in calls {
                 for m in members {
-                    let end = client::end(&m, endpoint, Outcome::NotSent, Instant::now());
+                    let end = calls::end(&m, endpoint, Outcome::NotSent, Instant::now());
                     self.next.push(Event::AttemptEnd(end));
                 }
             }
@@ -395,7 +436,7 @@
         for (endpoint, members) in calls {
             let cancel = Rc::new(Cancel::default());
             for m in &members {
-                self.calls.insert((m.taken.id, m.attempt), cancel.clone());
+                self.calls.insert((m.taken.id, m.attempt), (endpoint, cancel.clone()));
             }
             tokio::task::spawn_local(self.client.clone().call(endpoint, members, cancel));
         }
@@ -404,12 +445,22 @@
     fn offer(&mut self, mut taken: Taken, end: Instant, reply: oneshot::Sender<Reply>, round: &mut Round) {
         if let Some(id) = self.traces.get(&taken.trace) {
             // The same message once more, while it is held: it is taken on already, or shares this round's fate.
+            // Another one under its id is told nothing of either.
             match round.offered.get_mut(id) {
+                _ if !self.held.get(id).is_some_and(|held| held.taken.is_same(&taken)) => {
+                    _ = reply.send(Reply::Conflict)
+                }
                 Some(first) => first.replies.push(reply),
                 None => _ = reply.send(Reply::TakenOn),
             }
             return;
         }
+        // Nothing could ever be sent for it. Before the first list nothing is known of any destination.
+        if !self.dests.contains(&taken.dest) {
+            let first = self.dests.is_empty();
+            let _ = reply.send(if first { Reply::Refused(None) } else { Reply::NoDestination });
+            return;
+        }
         taken.id = self.next_id;
         let room = self.journal.has_room(&taken, round.claimed);
         let room = room.filter(|_| self.held.len() < self.settings.max_open && self.wind.is_none());
--- a/src/bin/nickelshed/discovery.rs
+++ b/src/bin/nickelshed/discovery.rs
@@ -1,5 +1,5 @@
 //! The list of endpoints: the whole list once, then a watch that goes out again at once.
-use crate::client::{self, Connection};
+use crate::connections::{self, Connection};
 use crate::core::Input;
 use crate::journal::MAX_NAME;
 use serde::Deserialize;
@@ -62,12 +62,12 @@
 const WAIT: Duration = Duration::from_secs(5);
 const GRACE: Duration = Duration::from_millis(1_500);
 const PAUSE: Duration = Duration::from_millis(100);
-const MAX_LIST: usize = 4 << 20;
+const MAX_LIST: usize = 1 << 20;
 
 async fn get(connection: &mut Option<Connection>, at: SocketAddr, path: &str) -> Result<List, String> {
     let kept = Connection::kept_or_new(connection, at, Duration::from_secs(1)).await;
     let mut link = kept.map_err(|e| e.to_string())?;
-    let request = client::request("GET", path, at, &[], Default::default());
+    let request = connections::request("GET", path, at, &[], Default::default());
     let (status, _, body) = link.exchange(request, MAX_LIST).await.map_err(|e| e.to_string())?;
     if status != 200 {
         return Err(format!("answered {status}"));
--- a/src/bin/nickelshed/journal.rs
+++ b/src/bin/nickelshed/journal.rs
@@ -2,6 +2,7 @@
 //!
 //! One file of records, each framed by its length and a checksum. It is rewritten with what still lives once
 //! it would pass half of the disk's limit, so that both files together stay under it.
+use crate::memory::{Budget, Share};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -13,7 +14,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 /// A message as it was taken on: all that a call needs after a restart.
-#[derive(Serialize, Deserialize, Clone, Debug)]
+#[derive(Serialize, Deserialize, Debug)]
 pub struct Taken {
     #[serde(rename = "i")]
     pub id: u64,
@@ -32,6 +33,17 @@
     pub end: i64,
     #[serde(skip)]
     pub body: Bytes,
+    /// Its part of the memory.
+    #[serde(skip)]
+    pub share: Option<Share>,
+}
+
+impl Taken {
+    /// Whether it is the same message, handed in again.
+    pub fn is_same(&self, other: &Taken) -> bool {
+        let (a, b) = (self, other);
+        a.dest == b.dest && a.class == b.class && a.tenant == b.tenant && a.key == b.key && a.body == b.body
+    }
 }
 
 #[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
@@ -91,6 +103,8 @@
     live: BTreeMap<u64, Live>,
 }
 
+/// Bodies hold at most so much.
+pub const MAX_BODY: usize = 64 << 10;
 const FRAME: usize = 8;
 /// Upper bounds for a record of an attempt with its end, and for the end of a message.
 const PER_ATTEMPT: u64 = 160;
@@ -118,7 +132,7 @@
 }
 
 /// The record at the start of `bytes` and its length; None where it is torn or damaged.
-fn decode(bytes: &[u8]) -> Option<(Record, usize)> {
+fn decode(bytes: &[u8], budget: &Budget) -> Option<(Record, usize)> {
     let word = |at: usize| Some(u32::from_le_bytes(bytes.get(at..at + 4)?.try_into().ok()?) as usize);
     let length = word(0)?;
     if !(4..=MAX_RECORD).contains(&length) {
@@ -131,13 +145,15 @@
     let (head, body) = payload[4..].split_at_checked(word(FRAME)?)?;
     let mut record = serde_json::from_slice(head).ok()?;
     if let Record::Taken(taken) = &mut record {
-        Rc::get_mut(taken)?.body = Bytes::copy_from_slice(body);
+        let taken = Rc::get_mut(taken)?;
+        taken.body = Bytes::copy_from_slice(body);
+        taken.share = Some(budget.owe(body.len()));
     }
     Some((record, FRAME + length))
 }
 
 impl Journal {
-    pub fn open(folder: &Path, disk_mb: f64, max_attempts: u32) -> io::Result<Journal> {
+    pub fn open(folder: &Path, disk_mb: f64, max_attempts: u32, budget: &Budget) -> io::Result<Journal> {
         let path = folder.join("journal");
         // A rewrite that was cut short: the old file still holds everything.
         let _ = fs::remove_file(folder.join("journal.new"));
@@ -153,7 +169,7 @@
         let mut journal =
             Journal { path, file, size: 0, bound, claimed: 0, max_attempts, live: BTreeMap::new() };
         let mut at = 0;
-        while let Some((record, length)) = decode(&bytes[at..]) {
+        while let Some((record, length)) = decode(&bytes[at..], budget) {
             journal.note(&record);
             at += length;
         }
--- a/src/bin/nickelshed/main.rs
+++ b/src/bin/nickelshed/main.rs
@@ -1,12 +1,16 @@
 //! nickelshed: one real sender. Start, signals and wiring.
-mod client;
+mod calls;
 mod config;
+mod connections;
 mod core;
 mod discovery;
 mod journal;
+mod memory;
 mod notices;
 mod server;
+mod wire;
 
+use leadfold::api::Class;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -65,8 +69,11 @@
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("signals: {e}"))?;
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
-    let journal = journal::Journal::open(&config.state, config.limits.disk_mb, config.settings.max_attempts)
-        .map_err(|e| format!("journal in {}: {e}", config.state.display()))?;
+    let limits = &config.limits;
+    let budget = memory::Budget::new(limits.memory_mb);
+    let journal =
+        journal::Journal::open(&config.state, limits.disk_mb, config.settings.max_attempts, &budget)
+            .map_err(|e| format!("journal in {}: {e}", config.state.display()))?;
     let (core_in, inbox) = mpsc::channel(INBOX);
     let (notices_in, notices) = mpsc::unbounded_channel();
     let settings = &config.settings;
@@ -74,16 +81,18 @@
     // is for clients that are only told to come again, and the others are for calls and idle connections.
     let sockets = config.limits.sockets.saturating_sub(OWN_SOCKETS);
     let calls = (settings.slots * 2 + 32).max(sockets / 4).min(sockets * 3 / 8);
-    let client = client::Client::new(core_in.clone(), settings.dial_timeout, settings.idle_close, calls);
-    let client = Rc::new(client);
-    spawn_local(client.clone().keep_pool());
+    let pool = Rc::new(connections::Pool::new(settings.dial_timeout, settings.idle_close, calls));
+    spawn_local(pool.clone().keep());
+    let client = Rc::new(calls::Client { core: core_in.clone(), pool });
     let (place, discovery) = watch::channel(config.discovery);
     spawn_local(reload(hangup, place));
     spawn_local(discovery::follow(discovery.clone(), core_in.clone()));
     spawn_local(notices::run(discovery, notices, core_in.clone()));
     let (listen, known) = (config.listen, std::mem::take(&mut config.known));
     let around = config.around.clone();
-    let effects = settings.classes.iter().map(|c| c.effect).collect();
+    let deadline = |c: &Class| Duration::from_nanos(c.deadline.max(0) as u64);
+    let class = |c: &Class| server::Class { effect: c.effect, deadline: deadline(c) };
+    let classes = settings.classes.iter().map(class).collect();
     let mut core = core::Core::new(config, journal, client, inbox, notices_in);
     core.resume(known).await;
     let core = spawn_local(core.run());
@@ -94,11 +103,12 @@
     let server = Rc::new(server::Server {
         core: core_in.clone(),
         around,
-        effects,
+        classes,
+        budget,
         most: sockets / 2,
         turned_away: sockets / 16,
         open: Default::default(),
-        closed: Default::default(),
+        guests: Default::default(),
     });
     let accepting = spawn_local(server.clone().accept(listener, closing));
 
--- a/src/bin/nickelshed/notices.rs
+++ b/src/bin/nickelshed/notices.rs
@@ -1,5 +1,5 @@
 //! Notices to the platform: how messages ended that were taken on and not delivered.
-use crate::client::{self, Connection};
+use crate::connections::{self, Connection};
 use crate::core::Input;
 use crate::journal::Ending;
 use serde_json::json;
@@ -35,7 +35,7 @@
 async fn post(connection: &mut Option<Connection>, at: SocketAddr, body: String) -> Result<u16, String> {
     let kept = Connection::kept_or_new(connection, at, PATIENCE).await;
     let mut link = kept.map_err(|e| e.to_string())?;
-    let request = client::request("POST", "/reports", at, &[], body.into());
+    let request = connections::request("POST", "/reports", at, &[], body.into());
     let (status, ..) = link.exchange(request, MAX_BODY).await.map_err(|e| e.to_string())?;
     *connection = Some(link);
     Ok(status)
--- a/src/bin/nickelshed/server.rs
+++ b/src/bin/nickelshed/server.rs
@@ -1,144 +1,246 @@
 //! Clients in: takes requests, checks their form, and hands them to the core.
-use crate::client::MAX_BODY;
 use crate::core::{Input, Reply};
-use crate::journal::Taken;
+use crate::journal::{Taken, MAX_BODY};
+use crate::memory::Budget;
+use crate::wire::{Io, Socket, MAX_HEAD, MAX_HEADERS};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, HeaderValue, ALLOW, CONNECTION, RETRY_AFTER};
+use hyper::header::{HeaderMap, HeaderValue, ALLOW, CONNECTION, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use leadfold::api::Effect;
 use leadfold::settings::Around;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch, Notify};
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 
-/// How long a request may take to come in, and how long a connection may stand idle.
-const BODY_PATIENCE: Duration = Duration::from_secs(5);
-const IDLE: Duration = Duration::from_secs(75);
+/// How long a request may take to come in, head and body together; on a new connection from its start.
+const PATIENCE: Duration = Duration::from_millis(2_500);
+/// How long a connection may stand idle: always; where another needs its place; and there without a first
+/// request, which a client that means to ask sends at once.
+const IDLE: Duration = Duration::from_secs(30);
+const IDLE_AT_BOUND: Duration = Duration::from_secs(2);
+const SILENT_AT_BOUND: Duration = Duration::from_millis(500);
+/// What is still read from a connection that closes, so that its last answer arrives.
+const DRAIN: Duration = Duration::from_millis(300);
+const DRAIN_BYTES: usize = 1 << 20;
+/// How long the request of a client that is turned away is waited for.
+const TURN_AWAY: Duration = Duration::from_millis(100);
 const MAX_NAME: usize = 256;
 
+/// What the sender needs of a class to take a message on.
+pub struct Class {
+    pub effect: Effect,
+    pub deadline: Duration,
+}
+
 pub struct Server {
     pub core: mpsc::Sender<Input>,
     pub around: Around,
-    pub effects: Vec<Effect>,
+    pub classes: Vec<Class>,
+    pub budget: Budget,
     /// Most connections that are served.
     pub most: usize,
-    /// Connections over that bound that are still told 503; what comes beyond them waits to be accepted.
+    /// Connections over that bound that are told to come again; what comes beyond them is closed.
     pub turned_away: usize,
     pub open: Cell<usize>,
-    pub closed: Notify,
+    /// Those that are served, in order of acceptance.
+    pub guests: RefCell<BTreeMap<u64, Rc<Guest>>>,
+}
+
+/// A connection that is served.
+pub struct Guest {
+    socket: Rc<Socket>,
+    /// When its last request was answered, or when it came.
+    since: Cell<Instant>,
+    has_asked: Cell<bool>,
+    /// A request's head has come, and its answer is not known yet.
+    busy: Cell<bool>,
+    leave: Notify,
+}
+
+impl Guest {
+    fn is_idle(&self) -> bool {
+        !self.busy.get() && self.socket.heard().is_none()
+    }
+
+    /// When the request that is coming must be here, or the idle connection has stood long enough.
+    fn deadline(&self) -> Instant {
+        match self.socket.heard() {
+            Some(heard) if self.has_asked.get() => heard + PATIENCE,
+            None if self.has_asked.get() => self.since.get() + IDLE,
+            _ => self.since.get() + PATIENCE,
+        }
+    }
 }
 
 impl Server {
     /// Accepts until `closing` says so; the connections then end between requests.
     pub async fn accept(self: Rc<Self>, listener: TcpListener, closing: watch::Receiver<bool>) {
         let mut until = closing.clone();
-        loop {
-            while self.open.get() >= self.most + self.turned_away.max(1) {
-                self.closed.notified().await;
-            }
+        let mut failing = false;
+        for number in 0.. {
             let stream = tokio::select! {
                 _ = until.wait_for(|c| *c) => return,
                 accepted = listener.accept() => match accepted {
                     Ok((stream, _)) => stream,
                     Err(error) => {
                         // Out of descriptors, say: the sender goes on with those that it has.
-                        tracing::warn!(%error, "cannot accept");
+                        if !std::mem::replace(&mut failing, true) {
+                            tracing::warn!(%error, "cannot accept");
+                        }
                         sleep(Duration::from_millis(20)).await;
                         continue;
                     }
                 },
             };
-            let full = self.open.get() >= self.most;
+            failing = false;
+            // Never left waiting: a client that is not accepted can't be told anything.
+            let full = self.guests.borrow().len() >= self.most && !self.make_place();
+            if full && self.open.get() >= self.most + self.turned_away.max(1) {
+                continue;
+            }
             self.open.set(self.open.get() + 1);
             let (server, closing) = (self.clone(), closing.clone());
+            let socket = Socket::new(stream);
+            // Entered at once: many may be accepted before the first of their tasks runs.
+            let guest = (!full).then(|| self.enter(number, &socket));
             tokio::task::spawn_local(async move {
-                server.clone().serve(stream, full, closing).await;
+                match guest {
+                    Some(guest) => {
+                        server.serve(guest, closing).await;
+                        server.guests.borrow_mut().remove(&number);
+                    }
+                    None => turn_away(socket).await,
+                }
                 server.open.set(server.open.get() - 1);
-                server.closed.notify_one();
             });
         }
     }
 
-    async fn serve(self: Rc<Self>, stream: TcpStream, full: bool, mut closing: watch::Receiver<bool>) {
-        let _ = stream.set_nodelay(true);
-        let used = Rc::new(Cell::new(Instant::now()));
-        let busy = Rc::new(Cell::new(0u32));
+    fn enter(&self, number: u64, socket: &Rc<Socket>) -> Rc<Guest> {
+        let guest = Rc::new(Guest {
+            socket: socket.clone(),
+            since: Cell::new(Instant::now()),
+            has_asked: Cell::new(false),
+            busy: Cell::new(false),
+            leave: Notify::new(),
+        });
+        self.guests.borrow_mut().insert(number, guest.clone());
+        guest
+    }
+
+    /// Closes the connection that has been without a request longest: some clients ask once and stay for good.
+    fn make_place(&self) -> bool {
+        let mut guests = self.guests.borrow_mut();
+        let stands = |g: &Guest| {
+            let enough = if g.has_asked.get() { IDLE_AT_BOUND } else { SILENT_AT_BOUND };
+            g.is_idle() && g.since.get().elapsed() >= enough
+        };
+        let longest = guests.iter().filter(|(_, g)| stands(g)).min_by_key(|(_, g)| g.since.get());
+        let Some((&number, guest)) = longest else { return false };
+        if guest.socket.has_news() {
+            return false;
+        }
+        guest.leave.notify_one();
+        guests.remove(&number);
+        true
+    }
+
+    async fn serve(&self, guest: Rc<Guest>, mut closing: watch::Receiver<bool>) {
+        let socket = guest.socket.clone();
         let service = service_fn(|request| {
-            let (server, used, busy) = (self.clone(), used.clone(), busy.clone());
+            let guest = guest.clone();
             async move {
-                busy.set(busy.get() + 1);
-                let mut response = if full { refused(None) } else { server.answer(request).await };
-                if full {
-                    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-                }
-                busy.set(busy.get() - 1);
-                used.set(Instant::now());
+                guest.busy.set(true);
+                let response = self.answer(request, guest.deadline()).await;
+                guest.busy.set(false);
+                guest.has_asked.set(true);
+                guest.since.set(Instant::now());
+                guest.socket.rest();
                 Ok::<_, Infallible>(response)
             }
         });
-        let connection =
-            hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-        let mut connection = pin!(connection);
-        let mut ending = false;
-        let mut idle = IDLE;
-        loop {
-            tokio::select! {
-                _ = connection.as_mut() => return,
-                _ = closing.wait_for(|c| *c), if !ending => {
-                    ending = true;
-                    connection.as_mut().graceful_shutdown();
-                }
-                () = sleep(idle) => {
-                    // Also one that opens a request and never ends it.
-                    let stood = used.get().elapsed();
-                    if busy.get() == 0 && stood >= IDLE {
-                        return;
+        let connection = hyper::server::conn::http1::Builder::new()
+            .max_buf_size(MAX_HEAD)
+            .max_headers(MAX_HEADERS)
+            .serve_connection(TokioIo::new(Io(socket.clone())), service);
+        {
+            let mut connection = pin!(connection);
+            let mut ending = false;
+            loop {
+                tokio::select! {
+                    _ = connection.as_mut() => break,
+                    _ = closing.wait_for(|c| *c), if !ending => {
+                        ending = true;
+                        connection.as_mut().graceful_shutdown();
+                    }
+                    // A request may have come since it was told to leave: that one is answered.
+                    () = guest.leave.notified() => if guest.is_idle() && !socket.has_news() { break },
+                    () = socket.news.notified() => {}
+                    // While it is busy the request's own bound holds.
+                    () = sleep_until(guest.deadline()), if !guest.busy.get() => {
+                        if Instant::now() >= guest.deadline() && !(guest.is_idle() && socket.has_news()) {
+                            break;
+                        }
                     }
-                    idle = IDLE.saturating_sub(stood).max(Duration::from_secs(1));
                 }
             }
         }
+        let _ = timeout(DRAIN, socket.close(DRAIN_BYTES)).await;
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    /// `by`: when the whole request must be here.
+    async fn answer(&self, request: Request<Incoming>, by: Instant) -> Response<Full<Bytes>> {
         let (head, body) = request.into_parts();
         let path = head.uri.path();
+        if path == "/healthz" && matches!(head.method, Method::GET | Method::HEAD) && body.is_end_stream() {
+            return plain(StatusCode::OK, "");
+        }
+        // The library keeps one of two lengths and hides the other, so a request with both can't be told from
+        // one that is in chunks throughout: a length is asked for, as RFC 9112 (6.3) allows.
+        if head.headers.contains_key(TRANSFER_ENCODING) {
+            return bad(StatusCode::LENGTH_REQUIRED, "a Content-Length is needed");
+        }
         if path == "/healthz" {
-            let get = matches!(head.method, Method::GET | Method::HEAD);
-            return if get { plain(StatusCode::OK, "") } else { wrong_method("GET, HEAD") };
+            return wrong_method("GET, HEAD");
         }
         let named = path.trim_start_matches('/').split('/').next().unwrap_or_default();
         let Some(class) = self.around.classes.iter().position(|c| c == named && !c.is_empty()) else {
-            return plain(StatusCode::NOT_FOUND, "no such class of message");
+            return bad(StatusCode::NOT_FOUND, "no such class of message");
         };
         if head.method != Method::POST {
             return wrong_method("POST");
         }
-        if body.size_hint().lower() > MAX_BODY as u64 {
-            return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB");
+        let length = body.size_hint().lower();
+        if length > MAX_BODY as u64 {
+            return bad(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB");
         }
         let (mut taken, left) = match self.read_head(&head.headers, class) {
             Ok(read) => read,
-            Err(why) => return plain(StatusCode::BAD_REQUEST, why),
+            Err(why) => return bad(StatusCode::BAD_REQUEST, why),
         };
+        // Held until the message's end, or until it is turned away.
+        let Some(share) = self.budget.claim(length as usize) else { return closing(refused(None)) };
+        taken.share = Some(share);
         let end = Instant::now() + left;
         taken.end = crate::journal::wall_ms() + left.as_millis() as i64;
-        taken.body = match timeout(BODY_PATIENCE, Limited::new(body, MAX_BODY).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
+        taken.body = match timeout_at(by, Limited::new(body, MAX_BODY).collect()).await {
+            // Copied: the library's own buffer, of which this is a part, is far larger than most messages.
+            Ok(Ok(body)) => Bytes::copy_from_slice(&body.to_bytes()),
             Ok(Err(e)) if e.is::<LengthLimitError>() => {
-                return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB")
+                return bad(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB")
             }
-            Ok(Err(_)) => return plain(StatusCode::BAD_REQUEST, "the body can't be read"),
-            Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body does not come"),
+            Ok(Err(_)) => return bad(StatusCode::BAD_REQUEST, "the body can't be read"),
+            Err(_) => return bad(StatusCode::REQUEST_TIMEOUT, "the body does not come"),
         };
         let (reply, answer) = oneshot::channel();
         if self.core.try_send(Input::Offer { taken, end, reply }).is_err() {
@@ -148,6 +250,8 @@
             Ok(Reply::TakenOn) => plain(StatusCode::ACCEPTED, ""),
             Ok(Reply::Refused(after)) => refused(after),
             Ok(Reply::Failed) => plain(StatusCode::INTERNAL_SERVER_ERROR, "can't be delivered"),
+            Ok(Reply::NoDestination) => bad(StatusCode::NOT_FOUND, "no such destination"),
+            Ok(Reply::Conflict) => bad(StatusCode::CONFLICT, "another message has this X-Trace-Id"),
             Err(_) => refused(None),
         }
     }
@@ -172,6 +276,8 @@
         };
         let left = text("x-expires-in-ms").flatten().and_then(|t| t.parse::<u32>().ok());
         let left = left.ok_or("X-Expires-In-Ms is missing or malformed")?;
+        // No message has longer than its class: core, journal and module agree on its end, over restarts too.
+        let left = Duration::from_millis(left.into()).min(self.classes[class].deadline);
         let dest = text("x-consignee").flatten().and_then(|t| {
             t.split([',', ';']).find_map(|p| p.trim().strip_prefix("dest=")?.trim().parse::<u64>().ok())
         });
@@ -182,12 +288,12 @@
             Some(_) => return Err("Idempotency-Key is malformed"),
         };
         // Without it a repeat would take effect twice.
-        if key.is_none() && self.effects[class] == Effect::Keyed {
+        if key.is_none() && self.classes[class].effect == Effect::Keyed {
             return Err("Idempotency-Key is missing");
         }
         let (class, tenant, trace) = (name.clone(), tenant.to_string(), trace.to_string());
-        let taken = Taken { id: 0, class, tenant, dest, trace, key, end: 0, body: Bytes::new() };
-        Ok((taken, Duration::from_millis(left.into())))
+        let taken = Taken { id: 0, class, tenant, dest, trace, key, end: 0, body: Bytes::new(), share: None };
+        Ok((taken, left))
     }
 }
 
@@ -197,8 +303,18 @@
     response
 }
 
+/// An answer to what is refused with its body unread, or can't be trusted to end where it says.
+fn bad(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+    closing(plain(status, text))
+}
+
+fn closing(mut response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
 fn wrong_method(allowed: &'static str) -> Response<Full<Bytes>> {
-    let mut response = plain(StatusCode::METHOD_NOT_ALLOWED, "");
+    let mut response = bad(StatusCode::METHOD_NOT_ALLOWED, "");
     response.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
     response
 }
@@ -211,3 +327,13 @@
     }
     response
 }
+
+/// Tells a client that there is no place for its connection now, whatever it asks.
+async fn turn_away(socket: Rc<Socket>) {
+    let service = service_fn(|_| async { Ok::<_, Infallible>(closing(refused(None))) });
+    let connection = hyper::server::conn::http1::Builder::new()
+        .max_buf_size(MAX_HEAD)
+        .serve_connection(TokioIo::new(Io(socket.clone())), service);
+    let _ = timeout(TURN_AWAY, connection).await;
+    let _ = timeout(TURN_AWAY, socket.close(DRAIN_BYTES)).await;
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -254,6 +254,12 @@
     instance(name, at, dest, "plain", "Ready")
 }
 
+/// An entry that names a destination and takes nothing.
+pub fn closed(dest: u64) -> Value {
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
+    instance(&format!("closed-{dest}"), nowhere, dest, "plain", "Terminating")
+}
+
 static FOLDERS: AtomicUsize = AtomicUsize::new(0);
 
 /// The sender with its folder; restarts keep folder, name and address.
