Tell resets of kept connections from outages; no token debt from times without a limit

(2) routes without a limit were charged a token for each call and given none: at -121 tokens one stayed closed for 30 s once it was cold. Changes: an attempt lost without a word on a kept connection says so (AttemptEnd::kept): no symptom, no latency; the pool drops that endpoint's idle connections and uses the next ones only for shorter idle times, for 30 s. A single failure restarts a cold route's ramp only where half of the calls fail of late. No debt without a limit. Tests: two for the module, one over loopback.

--- a/src/api.rs
+++ b/src/api.rs
@@ -175,6 +175,9 @@
     /// Told to send nothing to that destination (or route) for so long; 0 if not.
     pub wait: Ns,
     pub report: Option<Report>,
+    /// It was lost without a word on a connection that had carried calls before: the other side may just have
+    /// closed that one while it was idle.
+    pub kept: bool,
 }
 
 /// An attempt made by an earlier process, on this one's clock.
--- a/src/bin/leadfold-simhost/host.rs
+++ b/src/bin/leadfold-simhost/host.rs
@@ -249,6 +249,7 @@
                     done: f.parse_or::<u8>("DoneFlag", 0)? != 0,
                     wait: if outcome == Outcome::TurnedAway { wait.saturating_mul(MS) } else { 0 },
                     report: self.report(f)?,
+                    kept: false,
                 };
                 self.events.push(Event::AttemptEnd(end));
                 if let Some(held) = self.held.get_mut(&id) {
--- a/src/bin/nickelshed/calls.rs
+++ b/src/bin/nickelshed/calls.rs
@@ -117,6 +117,7 @@
             }
             let request = build(&members, link.at, close_at - now);
             let several = members.len() > 1;
+            let idle = link.idle();
             let answer = {
                 let mut answer = pin!(self.answer(&mut link, request, endpoint, several));
                 loop {
@@ -154,6 +155,7 @@
                 Err(fault) => {
                     // A first line with 200 is true, whatever follows it; for several the whole answer counts.
                     let served = !several && says_200(&link.socket.head());
+                    let kept = idle.filter(|_| link.socket.head().is_empty());
                     link.close().await;
                     tracing::debug!(%fault, served, "no answer that can be read");
                     let outcome = match fault {
@@ -161,7 +163,11 @@
                         Fault::Broken(_) => Outcome::ConnectionLost,
                         _ => Outcome::NoConnection,
                     };
-                    return self.report(members.iter().map(tell(outcome)).collect()).await;
+                    if let Some(idle) = kept.filter(|_| outcome == Outcome::ConnectionLost) {
+                        self.pool.distrust(endpoint, idle);
+                    }
+                    let lost = |m| AttemptEnd { kept: kept.is_some(), ..end(m, endpoint, outcome, started) };
+                    return self.report(members.iter().map(lost).collect()).await;
                 }
                 Ok(answer) => break (link, answer),
             }
@@ -284,7 +290,8 @@
 pub fn end(m: &Member, endpoint: EndpointId, outcome: Outcome, started: Instant) -> AttemptEnd {
     let done = outcome == Outcome::Served;
     let took = started.elapsed().as_nanos() as Ns;
-    AttemptEnd { id: m.taken.id, attempt: m.attempt, endpoint, outcome, took, done, wait: 0, report: None }
+    let (id, attempt) = (m.taken.id, m.attempt);
+    AttemptEnd { id, attempt, endpoint, outcome, took, done, wait: 0, report: None, kept: false }
 }
 
 /// The protocol's table: outcome, and whether the message is over. What it does not name may have run.
--- a/src/bin/nickelshed/connections.rs
+++ b/src/bin/nickelshed/connections.rs
@@ -96,6 +96,11 @@
         let _ = (&mut self.task).await;
     }
 
+    /// How long it has been idle, if it has carried an exchange.
+    pub fn idle(&self) -> Option<Duration> {
+        self.used.then(|| self.idle_since.elapsed())
+    }
+
     /// Whether a request may be written to it; not where bytes wait that belong to no request.
     pub fn is_open(&self) -> bool {
         self.sender.is_ready() && !self.task.is_finished() && !self.socket.has_news()
@@ -165,8 +170,15 @@
     address: SocketAddr,
     route: (DestId, Option<EndpointId>),
     usable: bool,
+    /// Connections idle for so long are not used there, until then.
+    brief: Option<(Duration, Instant)>,
 }
 
+/// Some endpoints close idle connections earlier than the settings say, and a request shows it as a reset. What
+/// was learned of that holds for so long; a reset after less idle time than this tells nothing of it.
+const DISTRUST: Duration = Duration::from_secs(30);
+const LEAST_IDLE: Duration = Duration::from_millis(50);
+
 pub struct Pool {
     pub dial: Duration,
     idle: Duration,
@@ -202,8 +214,10 @@
         separate: bool,
         usable: bool,
     ) {
-        let place = Place { address, route: (dest, separate.then_some(endpoint)), usable };
-        let old = self.places.borrow_mut().insert(endpoint, place);
+        let mut places = self.places.borrow_mut();
+        let brief = places.get(&endpoint).filter(|p| p.address == address).and_then(|p| p.brief);
+        let place = Place { address, route: (dest, separate.then_some(endpoint)), usable, brief };
+        let old = places.insert(endpoint, place);
         if !usable || old.is_some_and(|old| old.address != address) {
             self.close_idle(endpoint);
         }
@@ -260,11 +274,22 @@
         *held = until.max(*held);
     }
 
+    /// A kept connection there was reset at a request after so long: those idle for longer are no better.
+    pub fn distrust(&self, endpoint: EndpointId, idle: Duration) {
+        self.close_idle(endpoint);
+        if let Some(place) = self.places.borrow_mut().get_mut(&endpoint).filter(|_| idle >= LEAST_IDLE) {
+            place.brief = Some(((idle * 3 / 4).max(LEAST_IDLE), Instant::now() + DISTRUST));
+        }
+    }
+
     fn take_idle(&self, endpoint: EndpointId) -> Option<Connection> {
         let now = Instant::now();
+        let brief =
+            self.places.borrow().get(&endpoint).and_then(|p| p.brief).filter(|(_, until)| now < *until);
+        let most = brief.map_or(self.idle, |(idle, _)| idle.min(self.idle));
         let mut pool = self.links.borrow_mut();
         let links = pool.get_mut(&endpoint)?;
-        std::iter::from_fn(|| links.pop()).find(|l| l.is_open() && now - l.idle_since < self.idle)
+        std::iter::from_fn(|| links.pop()).find(|l| l.is_open() && now - l.idle_since < most)
     }
 
     /// Frees the place of the connection that has stood idle longest.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -23,6 +23,8 @@
 /// Failures without a success between, or share of failures (aged), that put a route in doubt.
 const DOUBT_RUN: u32 = 3;
 const DOUBT_SHARE: f64 = 0.6;
+/// Share of failures that starts the ramp of a cold route anew.
+const RELAPSE: f64 = 0.5;
 /// Refusals without a success between that read as shut even where the limit might explain them.
 const SHUT_RUN: u32 = 4;
 /// A told wait of this length is no limit's: the route is shut.
@@ -357,7 +359,9 @@
             // Quick errors would read as quick answers: all but a served call books the full aim, so that a
             // class misses there once about half of its calls fail.
             let took = if e.outcome == Outcome::Served { e.took.max(0) } else { class.aim };
-            if !matches!(e.outcome, Outcome::NotSent | Outcome::CalledOff | Outcome::NoConnection) {
+            // What never reached it, and a kept connection that it had closed, tell nothing of its load.
+            let unseen = matches!(e.outcome, Outcome::NotSent | Outcome::CalledOff | Outcome::NoConnection);
+            if !unseen && !e.kept {
                 let cells = dest.cells.len() / self.cfg.classes.len();
                 dest.cells[message.class * cells + level].book(now, took as f64);
             }
@@ -480,6 +484,8 @@
                 place.avoid_until = now + SECOND;
                 place.served_at < now.saturating_sub(e.took.max(self.cfg.tick))
             }
+            // The endpoint may have closed an idle connection: whether it is down a new one will tell.
+            Outcome::ConnectionLost if e.kept => false,
             Outcome::ServerError | Outcome::NoAnswer | Outcome::ConnectionLost => {
                 place.avoid_until = now + SECOND;
                 true
@@ -506,7 +512,8 @@
         }
         let sick = route.failures >= DOUBT_RUN || route.failing > DOUBT_SHARE;
         route.doubt |= sick;
-        if told && (sick || route.cold) {
+        // Single failures among answers are no outage, and must not start the ramp anew for ever.
+        if told && (sick || route.cold && route.failing > RELAPSE) {
             route.cold = true;
             route.last_failure = self.now;
         }
@@ -573,6 +580,8 @@
             (rate, burst) = (rate.min(ramp), 1.0);
         }
         if rate.is_infinite() {
+            // No debt from a time without a limit: it would keep a cold route closed long after its outage.
+            (route.tokens, route.filled_at) = (1.0, now);
             return now;
         }
         let passed = (now - route.filled_at).max(0) as f64 / 1e9;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -57,7 +57,7 @@
 pub fn end(id: MsgId, attempt: u32, endpoint: EndpointId, outcome: Outcome) -> AttemptEnd {
     let took = 100 * MS;
     let done = outcome == Outcome::Served;
-    AttemptEnd { id, attempt, endpoint, outcome, took, done, wait: 0, report: None }
+    AttemptEnd { id, attempt, endpoint, outcome, took, done, wait: 0, report: None, kept: false }
 }
 
 pub struct Stand {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -610,3 +610,47 @@
     // All eight attempts were used.
     assert!(sends(&resume(0, vec![past(T0 - SECOND, false); 8])).is_empty());
 }
+
+#[test]
+fn resets_of_kept_connections_put_nothing_in_doubt() {
+    let many = |kept: bool| {
+        let mut s = Stand::new(settings(), &[entry(1, 1, 0)]);
+        for id in 0..6 {
+            if sends(&s.take(message(id, 1, 2))).is_empty() {
+                break;
+            }
+            s.now += 50 * MS;
+            s.end(AttemptEnd { kept, ..end(id, 0, 1, Outcome::ConnectionLost) });
+        }
+        sends(&s.give((10..14).map(|id| Event::Message(message(id, 1, 2))).collect())).len()
+    };
+    assert_eq!((many(true), many(false)), (4, 0));
+}
+
+/// What was sent while nothing limited a route is no debt that keeps it closed once it is cold.
+#[test]
+fn a_route_without_a_limit_comes_back_along_the_ramp_whatever_it_was_sent_before() {
+    let returned = |before: u64| {
+        let mut s = Stand::new(settings(), &[entry(1, 1, 0)]);
+        for id in 0..before {
+            s.take(message(id, 1, 2));
+            s.now += 50 * MS;
+            s.end(end(id, 0, 1, Outcome::Served));
+        }
+        s.give((1_000..1_003).map(|id| Event::Message(message(id, 1, 2))).collect());
+        s.now += 50 * MS;
+        for id in 1_000..1_003 {
+            s.end(end(id, 0, 1, Outcome::ConnectionLost));
+        }
+        s.give((2_000..2_060).map(|id| Event::Message(message(id, 1, 2))).collect());
+        let mut count = 0;
+        for _ in 0..1_200 {
+            for (id, endpoint) in sends(&plain(&s.pass(5 * MS))) {
+                s.end(end(id, 0, endpoint, Outcome::Served));
+                count += 1;
+            }
+        }
+        count
+    };
+    assert!(returned(200) >= returned(4), "{} {}", returned(200), returned(4));
+}
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -928,3 +928,25 @@
     assert!(!endpoint.seen().iter().any(|r| r.id() == "after"));
     assert!(node.is_running());
 }
+
+/// An endpoint that closes kept connections without a word is not down: the message goes again over a new one.
+#[test]
+fn resets_of_kept_connections_are_no_outage() {
+    let used = std::sync::Mutex::new(std::collections::HashSet::new());
+    let endpoint =
+        Peer::new(move |r| if used.lock().unwrap().insert(r.connection) { ok() } else { Reply::Close });
+    let (discovery, node) = one_endpoint(&endpoint);
+    for i in 0..8 {
+        let id = format!("m{i}");
+        assert_eq!(node.hand_in("alert", &id, 7, 16_000, b"x"), 202);
+        // The first request on a connection is the one that is answered.
+        let fresh =
+            |seen: &[Request], r: &Request| !seen.iter().any(|o| o.connection == r.connection && o.at < r.at);
+        endpoint.wait(&id, |seen| seen.iter().any(|r| r.id() == id && fresh(seen, r)));
+        let mut connections: Vec<_> = endpoint.wait_for(&id, 1).iter().map(|r| r.connection).collect();
+        let calls = connections.len();
+        connections.dedup();
+        assert_eq!(connections.len(), calls);
+    }
+    assert!(discovery.notices().is_empty());
+}
