Keep clients' places free: answers end their connections once three quarters are taken

Cause: on the incident every place was held by a connection that had been answered and was under 2 s old (a probe at each client turned away: 248 of 248 idle, none of them over 2 s, none busy, at 120 new connections a second), so all others heard 503. Change: past three quarters of the places an answer carries Connection: close, so that no connection has to be closed early and none crosses a request; the unused descriptors stay with the clients.

--- a/src/bin/nickelshed/main.rs
+++ b/src/bin/nickelshed/main.rs
@@ -77,10 +77,11 @@
     let (core_in, inbox) = mpsc::channel(INBOX);
     let (notices_in, notices) = mpsc::unbounded_channel();
     let settings = &config.settings;
-    // Some are for the listener, the watch, notices and files. Of the rest half are the clients', a sixteenth
-    // is for clients that are only told to come again, and the others are for calls and idle connections.
+    // Some are for the listener, the watch, notices and files. Of the rest calls always find theirs, a sixteenth
+    // is for clients that are only told to come again, and all others are for clients: some connect by hundreds.
     let sockets = config.limits.sockets.saturating_sub(OWN_SOCKETS);
     let calls = (settings.slots * 2 + 32).max(sockets / 4).min(sockets * 3 / 8);
+    let turned_away = (sockets / 16).max(1);
     let pool = Rc::new(connections::Pool::new(settings.dial_timeout, settings.idle_close, calls));
     spawn_local(pool.clone().keep());
     let client = Rc::new(calls::Client { core: core_in.clone(), pool });
@@ -105,8 +106,8 @@
         around,
         classes,
         budget,
-        most: sockets / 2,
-        turned_away: sockets / 16,
+        most: sockets - calls - turned_away,
+        turned_away,
         open: Default::default(),
         guests: Default::default(),
     });
--- a/src/bin/nickelshed/server.rs
+++ b/src/bin/nickelshed/server.rs
@@ -105,7 +105,7 @@
             failing = false;
             // Never left waiting: a client that is not accepted can't be told anything.
             let full = self.guests.borrow().len() >= self.most && !self.make_place();
-            if full && self.open.get() >= self.most + self.turned_away.max(1) {
+            if full && self.open.get() >= self.most + self.turned_away {
                 continue;
             }
             self.open.set(self.open.get() + 1);
@@ -155,13 +155,18 @@
         true
     }
 
-    async fn serve(&self, guest: Rc<Guest>, mut closing: watch::Receiver<bool>) {
+    async fn serve(&self, guest: Rc<Guest>, mut ended: watch::Receiver<bool>) {
         let socket = guest.socket.clone();
         let service = service_fn(|request| {
             let guest = guest.clone();
             async move {
                 guest.busy.set(true);
-                let response = self.answer(request, guest.deadline()).await;
+                let mut response = self.answer(request, guest.deadline()).await;
+                // Clients that come with a new connection for each message would fill all places with idle ones
+                // that are too young to be closed.
+                if self.guests.borrow().len() > self.most * 3 / 4 {
+                    response = closing(response);
+                }
                 guest.busy.set(false);
                 guest.has_asked.set(true);
                 guest.since.set(Instant::now());
@@ -179,7 +184,7 @@
             loop {
                 tokio::select! {
                     _ = connection.as_mut() => break,
-                    _ = closing.wait_for(|c| *c), if !ending => {
+                    _ = ended.wait_for(|c| *c), if !ending => {
                         ending = true;
                         connection.as_mut().graceful_shutdown();
                     }
