Let one piece of code serve where the change had two

Cause: a second reading of the whole change. The server built the HTTP library's bounds in two places (the one for clients that are turned away left out the bound on header lines); whether a spoilt answer says 200 was asked by the same lines twice; an address look-up had become a public function with one caller; two tests spelled out the same answer to a batch; a comment said 'last use' where closing is meant. One defect found on the way: with a limit of 24 descriptors or less the clients' share was subtracted below nought, which would end the start of a debug build and give no bound in a release one; it is nought now. Checked: fmt, clippy and all tests.

--- a/src/bin/nickelshed/calls.rs
+++ b/src/bin/nickelshed/calls.rs
@@ -118,6 +118,8 @@
             let request = build(&members, link.at, close_at - now);
             let several = members.len() > 1;
             let idle = link.idle();
+            // A first line with 200 is true, whatever follows it; for several the whole answer counts.
+            let served = |link: &Connection| !several && says_200(&link.socket.head());
             let answer = {
                 let mut answer = pin!(self.answer(&mut link, request, endpoint, several));
                 loop {
@@ -141,8 +143,7 @@
             let answer = match answer {
                 Ok(answer) => answer,
                 Err((left, outcome)) => {
-                    let outcome =
-                        if !several && says_200(&link.socket.head()) { Outcome::Served } else { outcome };
+                    let outcome = if served(&link) { Outcome::Served } else { outcome };
                     // Closed before it is told: the next attempt of a message that is still out on an open
                     // connection would be a second copy, and the call would still hold its slot.
                     link.close().await;
@@ -153,8 +154,7 @@
                 // The pooled connection had ended: nothing was written, so another one may carry it.
                 Err(Fault::Unsent) => drop(link),
                 Err(fault) => {
-                    // A first line with 200 is true, whatever follows it; for several the whole answer counts.
-                    let served = !several && says_200(&link.socket.head());
+                    let served = served(&link);
                     let kept = idle.filter(|_| link.socket.head().is_empty());
                     link.close().await;
                     tracing::debug!(%fault, served, "no answer that can be read");
--- a/src/bin/nickelshed/connections.rs
+++ b/src/bin/nickelshed/connections.rs
@@ -303,15 +303,12 @@
         pool.get_mut(&endpoint).map(|links| links.remove(0)).is_some()
     }
 
-    pub fn address(&self, endpoint: EndpointId) -> Option<SocketAddr> {
-        self.places.borrow().get(&endpoint).filter(|p| p.usable).map(|p| p.address)
-    }
-
     pub async fn connect(&self, endpoint: EndpointId) -> Result<Connection, Outcome> {
         if let Some(link) = self.take_idle(endpoint) {
             return Ok(link);
         }
-        let Some(address) = self.address(endpoint).filter(|_| self.make_place()) else {
+        let address = self.places.borrow().get(&endpoint).filter(|p| p.usable).map(|p| p.address);
+        let Some(address) = address.filter(|_| self.make_place()) else {
             return Err(Outcome::NotSent);
         };
         // Counted from before it is made, so that many at once stay under the limit too.
--- a/src/bin/nickelshed/core.rs
+++ b/src/bin/nickelshed/core.rs
@@ -114,7 +114,7 @@
 const CLOCK_START: Ns = 1_000_000 * SECOND;
 /// Events of one round at most, so that a flood of them does not hold up the answers.
 const ROUND: usize = 512;
-/// For so long after its last use an endpoint is remembered, as long as the module does: new ones come all day.
+/// For so long after it was closed an endpoint is remembered, as long as the module does: new ones come all day.
 const FORGET: Duration = Duration::from_secs(60);
 const FIRST_LIST: Duration = Duration::from_millis(300);
 
--- a/src/bin/nickelshed/main.rs
+++ b/src/bin/nickelshed/main.rs
@@ -106,7 +106,7 @@
         around,
         classes,
         budget,
-        most: sockets - calls - turned_away,
+        most: sockets.saturating_sub(calls + turned_away),
         turned_away,
         open: Default::default(),
         guests: Default::default(),
--- a/src/bin/nickelshed/server.rs
+++ b/src/bin/nickelshed/server.rs
@@ -7,6 +7,7 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderValue, ALLOW, CONNECTION, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -174,10 +175,7 @@
                 Ok::<_, Infallible>(response)
             }
         });
-        let connection = hyper::server::conn::http1::Builder::new()
-            .max_buf_size(MAX_HEAD)
-            .max_headers(MAX_HEADERS)
-            .serve_connection(TokioIo::new(Io(socket.clone())), service);
+        let connection = http().serve_connection(TokioIo::new(Io(socket.clone())), service);
         {
             let mut connection = pin!(connection);
             let mut ending = false;
@@ -302,6 +300,13 @@
     }
 }
 
+/// The library with its bounds on heads.
+fn http() -> Builder {
+    let mut builder = Builder::new();
+    builder.max_buf_size(MAX_HEAD).max_headers(MAX_HEADERS);
+    builder
+}
+
 fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
@@ -336,9 +341,7 @@
 /// Tells a client that there is no place for its connection now, whatever it asks.
 async fn turn_away(socket: Rc<Socket>) {
     let service = service_fn(|_| async { Ok::<_, Infallible>(closing(refused(None))) });
-    let connection = hyper::server::conn::http1::Builder::new()
-        .max_buf_size(MAX_HEAD)
-        .serve_connection(TokioIo::new(Io(socket.clone())), service);
+    let connection = http().serve_connection(TokioIo::new(Io(socket.clone())), service);
     let _ = timeout(TURN_AWAY, connection).await;
     let _ = timeout(TURN_AWAY, socket.close(DRAIN_BYTES)).await;
 }
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -195,15 +195,18 @@
     assert_eq!(discovery.notices().iter().filter(|n| n["outcome"] == "given_up").count(), 1);
 }
 
+/// The answer to a batch of which every message is done.
+fn all_done(request: &Request) -> Option<String> {
+    let many = request.first.contains(":batch");
+    let list: Vec<Value> = if many { serde_json::from_slice(&request.body).unwrap() } else { Vec::new() };
+    let ends: Vec<Value> = list.iter().map(|m| json!({"id": m["id"], "state": "done"})).collect();
+    many.then(|| json!(ends).to_string())
+}
+
 #[test]
 fn what_is_too_much_for_one_body_goes_in_parts() {
     let endpoint = first_then_ok(|| answer("429 Wait", "Retry-After: 1.5\r\n", ""));
-    endpoint.also(|request| {
-        let many = request.first.contains(":batch");
-        let list: Vec<Value> = if many { serde_json::from_slice(&request.body).unwrap() } else { Vec::new() };
-        let ends: Vec<Value> = list.iter().map(|m| json!({"id": m["id"], "state": "done"})).collect();
-        many.then(|| answer("200 OK", "", &json!(ends).to_string()))
-    });
+    endpoint.also(|request| all_done(request).map(|ends| answer("200 OK", "", &ends)));
     let discovery = Discovery::new(json!([instance("e-1", endpoint.address, 7, "many", "Ready")]));
     let node = Node::start(&discovery);
     assert_eq!(node.hand_in("order", "0", 7, 16_000, b"0"), 202);
@@ -885,12 +888,11 @@
 fn of_a_batch_only_a_whole_answer_counts() {
     let endpoint = first_then_ok(|| answer("429 Wait", "Retry-After: 1.5\r\n", ""));
     endpoint.also(|request| {
-        let many = request.first.contains(":batch");
-        let list: Vec<Value> = if many { serde_json::from_slice(&request.body).unwrap() } else { Vec::new() };
-        let ends: Vec<Value> = list.iter().map(|m| json!({"id": m["id"], "state": "done"})).collect();
-        let text = json!(ends).to_string();
-        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", text.len() + 1);
-        many.then(|| Reply::Bytes(head + &text))
+        let cut = |ends: String| {
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", ends.len() + 1);
+            Reply::Bytes(head + &ends)
+        };
+        all_done(request).map(cut)
     });
     let discovery = Discovery::new(json!([instance("e-1", endpoint.address, 7, "many", "Ready")]));
     let node = Node::start(&discovery);
