Split the program into packages by concern, and break the sender's import circle

Need: later subsystems stand on parts that were one package of sixteen files, five of which imported each other through core::Input. The old name is gone. Moved, not rewritten: behaviour is as it was.

--- a/src/bin/nickelshed/journal.rs
+++ b/crates/nickelshed-journal/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! One file of records, each framed by its length and a checksum. It is rewritten with what still lives once
 //! it would pass half of the disk's limit, so that both files together stay under it.
-use crate::memory::{Budget, Share};
 use bytes::Bytes;
+use nickelshed_budget::{Budget, Share};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions};
--- a/tests/common/mod.rs
+++ b/crates/nickelshed-policy/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small stand for the module: settings, one sender, and the actions of its last call.
 #![allow(dead_code)]
-use leadfold::api::*;
-use leadfold::rules::Sender;
+use nickelshed_policy::api::*;
+use nickelshed_policy::rules::Sender;
 
 pub const T0: Ns = 1_000 * SECOND;
 
--- a/tests/module.rs
+++ b/crates/nickelshed-policy/tests/module.rs
@@ -1,7 +1,7 @@
 //! The decisions, seen through the interface alone.
 mod common;
 use common::*;
-use leadfold::api::*;
+use nickelshed_policy::api::*;
 
 #[test]
 fn sends_at_once_below_the_cap_and_holds_above_it() {
@@ -524,7 +524,8 @@
     let mut times = Vec::new();
     for seed in 0..n as u64 {
         let cfg = Settings { n_instances: n, ..settings() };
-        let mut s = Stand { sender: leadfold::rules::Sender::new(cfg, seed), now: T0, actions: Vec::new() };
+        let mut s =
+            Stand { sender: nickelshed_policy::rules::Sender::new(cfg, seed), now: T0, actions: Vec::new() };
         s.give(vec![Event::List { whole: true, entries: vec![entry(1, 1, 0)] }]);
         let report = Some(Report { left: 0.9, limit });
         // Three lost calls put it in doubt; then it is back, and everything is served at once.
--- a/src/settings.rs
+++ b/crates/nickelshed-settings/src/lib.rs
@@ -1,5 +1,5 @@
 //! The settings object, read into `api::Settings` for both programs. Unknown keys are skipped.
-use crate::api::*;
+use nickelshed_policy::api::*;
 use serde_json::Value;
 
 struct At<'a> {
--- a/src/bin/leadfold-simhost/host.rs
+++ b/crates/nickelshed-simhost/src/host.rs
@@ -1,7 +1,7 @@
 //! Wire lines to `api` events for each sender, and its actions back to lines.
-use leadfold::api::*;
-use leadfold::rules::Sender;
-use leadfold::settings::{self, Around};
+use nickelshed_policy::api::*;
+use nickelshed_policy::rules::Sender;
+use nickelshed_settings::{self as settings, Around};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write;
 use std::rc::Rc;
--- a/src/bin/leadfold-simhost/main.rs
+++ b/crates/nickelshed-simhost/src/main.rs
@@ -38,6 +38,6 @@
 
 /// A wire that cannot be understood is no ground to decide on: say why, once, and end.
 fn stop(message: &str) -> ! {
-    eprintln!("leadfold-simhost: {message}");
+    eprintln!("nickelshed-simhost: {message}");
     std::process::exit(2)
 }
--- a/tests/adapter.rs
+++ b/crates/nickelshed-simhost/tests/adapter.rs
@@ -9,7 +9,7 @@
 "Services":[{"PromiseNs":2000000000,"DeadlineNs":16000000000,"Effect":"keyed","WindowNs":4000000000}]}"#;
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_leadfold-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_nickelshed-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- /dev/null
+++ b/crates/nickelshed-testkit/src/node.rs
@@ -0,0 +1,194 @@
+//! The sender as a process with its folder, and a client that hands messages in.
+use crate::discovery::Discovery;
+use crate::peer::{read_message, Request};
+use crate::BOUND;
+use serde_json::{json, Value};
+use std::collections::HashMap;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+static FOLDERS: AtomicUsize = AtomicUsize::new(0);
+
+/// A folder for tests beside the build's own, so that it lies on a disk and goes with `cargo clean`.
+fn scratch(program: &str) -> PathBuf {
+    let build = Path::new(program).ancestors().nth(2).expect("a program lies in the build's folder");
+    build.join("tmp")
+}
+
+/// The sender with its folder; restarts keep folder, name and address.
+pub struct Node {
+    program: PathBuf,
+    pub folder: PathBuf,
+    pub address: SocketAddr,
+    discovery: SocketAddr,
+    child: Option<Child>,
+    pub config: Value,
+}
+
+impl Node {
+    pub fn start(program: &str, discovery: &Discovery) -> Node {
+        Node::with(program, discovery, json!([]), |_| {})
+    }
+
+    pub fn with(program: &str, discovery: &Discovery, known: Value, change: impl Fn(&mut Value)) -> Node {
+        let number = FOLDERS.fetch_add(1, Ordering::SeqCst);
+        let folder = scratch(program).join(format!("node-{}-{number}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(folder.join("state")).unwrap();
+        let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let class = |name: &str, effect: &str| {
+            json!({"Name": name, "PromiseNs": 3_000_000_000u64, "DeadlineNs": 16_000_000_000u64, "Effect": effect,
+                "DedupScope": "all", "WindowNs": 15_000_000_000u64, "Worth": 1, "LateWorth": 0.3})
+        };
+        let mut config = json!({"name": "n0", "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256, "disk_mb": 3},
+            "known": {"generation": 0, "reset": true, "instances": known},
+            "settings": {"NInstances": 1, "TickNs": 5_000_000, "Kinds": ["plain", "many"], "Localities": ["z"],
+                "Realms": [{"Name": "acme", "QuotaPerS": 100.0}], "Weights": "silent",
+                "FamilyInfo": {"CallsOut": 16, "KindBatch": [1, 10], "SeparateRoutes": [false, false]},
+                "Feedback": {"Source": "piggyback", "Fields": ["x0", "x1"]},
+                "Limits": {"MaxOpen": 100, "MaxAttempts": 8, "Cancel": true, "IdleCloseNs": 20_000_000_000u64,
+                    "DialTimeoutNs": 1_000_000_000, "MaxRetryAfterNs": 3_000_000_000u64},
+                "Safety": {"StartCapacity": 0.26, "ColdNs": 9_500_000_000u64, "FallMultiple": 1.5,
+                    "OverloadForNs": 2_000_000_000},
+                "Services": [class("alert", "keyed"), class("order", "unsafe")]}});
+        change(&mut config);
+        let program = PathBuf::from(program);
+        let mut node =
+            Node { program, folder, address, discovery: discovery.peer.address, child: None, config };
+        node.restart();
+        node
+    }
+
+    pub fn state(&self) -> PathBuf {
+        self.folder.join("state")
+    }
+
+    /// Bytes in the lasting folder, in whole blocks.
+    pub fn on_disk(&self) -> u64 {
+        let files = std::fs::read_dir(self.state()).unwrap().flatten();
+        files.filter_map(|f| f.metadata().ok()).map(|m| m.len().div_ceil(512) * 512).sum()
+    }
+
+    fn config_path(&self) -> PathBuf {
+        self.folder.join("config.json")
+    }
+
+    /// Replaces the file of the configuration and tells the process so.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(self.config_path(), text).unwrap();
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, signal: &str) {
+        let id = self.child.as_ref().unwrap().id().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+    }
+
+    pub fn restart(&mut self) {
+        assert!(self.child.is_none(), "still running");
+        let config = self.config_path();
+        std::fs::write(&config, self.config.to_string()).unwrap();
+        let log =
+            std::fs::OpenOptions::new().create(true).append(true).open(self.folder.join("log")).unwrap();
+        let child = Command::new(&self.program)
+            .env("EDGE_NAME", "n0")
+            .env("EDGE_LISTEN", self.address.to_string())
+            .env("EDGE_DISCOVERY", self.discovery.to_string())
+            .env("EDGE_STATE", self.state())
+            .env("EDGE_CONFIG", config)
+            .stdin(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .expect("the sender starts");
+        self.child = Some(child);
+        let until = Instant::now() + BOUND;
+        loop {
+            let health = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+            if self.ask(health.as_bytes()).is_some_and(|r| r.first.contains(" 200")) {
+                return;
+            }
+            assert!(Instant::now() < until, "never ready: {}", self.log());
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.join("log")).unwrap_or_default()
+    }
+
+    /// Sends bytes on a new connection and reads one answer.
+    pub fn ask(&self, bytes: &[u8]) -> Option<Request> {
+        let mut stream = TcpStream::connect(self.address).ok()?;
+        stream.set_read_timeout(Some(BOUND)).ok()?;
+        stream.write_all(bytes).ok()?;
+        read_message(&mut BufReader::new(stream), 0)
+    }
+
+    pub fn hand_in(&self, class: &str, id: &str, dest: u64, expires_ms: u64, body: &[u8]) -> u16 {
+        self.hand_in_full(class, id, dest, expires_ms, body).0
+    }
+
+    pub fn hand_in_full(
+        &self,
+        class: &str,
+        id: &str,
+        dest: u64,
+        expires_ms: u64,
+        body: &[u8],
+    ) -> (u16, HashMap<String, String>) {
+        let mut bytes = format!(
+            "POST /{class} HTTP/1.1\r\nHost: api.internal\r\nX-Trace-Id: {id}\r\nX-Qos: {class}\r\n\
+             X-Customer: acme\r\nX-Expires-In-Ms: {expires_ms}\r\nX-Consignee: dest={dest}\r\n\
+             Idempotency-Key: key-{id}\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        )
+        .into_bytes();
+        bytes.extend_from_slice(body);
+        let answer = self.ask(&bytes).unwrap_or_else(|| panic!("no answer for {id}: {}", self.log()));
+        (answer.first.split(' ').nth(1).unwrap().parse().unwrap(), answer.headers)
+    }
+
+    pub fn kill(&mut self) {
+        let mut child = self.child.take().unwrap();
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
+    pub fn terminate(&mut self) {
+        self.signal("-TERM");
+    }
+
+    pub fn wait_exit(&mut self) -> ExitStatus {
+        self.child.take().unwrap().wait().unwrap()
+    }
+
+    pub fn is_running(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|c| c.try_wait().unwrap().is_none())
+    }
+
+    /// Waits until something is so.
+    pub fn until(&self, what: &str, so: impl Fn() -> bool) {
+        let until = Instant::now() + BOUND;
+        while !so() {
+            assert!(Instant::now() < until, "waited in vain until {what}: {}", self.log());
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
--- a/src/bin/nickelshed/calls.rs
+++ b/crates/nickelshed/src/calls.rs
@@ -1,7 +1,6 @@
 //! Calls to endpoints: what is checked as one is written, and how each of its messages ended.
 use crate::connections::{request, Connection, Fault, Pool};
-use crate::core::Input;
-use crate::journal::{Taken, MAX_BODY};
+use crate::inbox::Input;
 use crate::wire::{Socket, MAX_HEADERS};
 use base64::Engine;
 use bytes::Bytes;
@@ -9,7 +8,8 @@
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, CONNECTION, RETRY_AFTER};
 use hyper::Request;
-use leadfold::api::{AttemptEnd, EndpointId, Ns, Outcome, Report};
+use nickelshed_journal::{Taken, MAX_BODY};
+use nickelshed_policy::api::{AttemptEnd, EndpointId, Ns, Outcome, Report};
 use serde_json::{json, Value};
 use std::cell::Cell;
 use std::collections::HashMap;
--- a/src/bin/nickelshed/config.rs
+++ b/crates/nickelshed/src/config.rs
@@ -1,7 +1,7 @@
 //! The environment and config.json: read at the start, and the file once more on SIGHUP.
-use crate::discovery::List;
-use leadfold::api::Settings;
-use leadfold::settings::{self, Around};
+use crate::list::List;
+use nickelshed_policy::api::Settings;
+use nickelshed_settings::{self as settings, Around};
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
--- a/src/bin/nickelshed/connections.rs
+++ b/crates/nickelshed/src/connections.rs
@@ -1,5 +1,4 @@
 //! Connections to endpoints, discovery and the platform: the pool, its bounds, and whom nothing may be written.
-use crate::journal::MAX_BODY;
 use crate::wire::{Io, Socket, MAX_HEAD, MAX_HEADERS};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -8,7 +7,8 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, HOST};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use leadfold::api::{DestId, EndpointId, Ns, Outcome, MS};
+use nickelshed_journal::MAX_BODY;
+use nickelshed_policy::api::{DestId, EndpointId, Ns, Outcome, MS};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
--- a/src/bin/nickelshed/core.rs
+++ b/crates/nickelshed/src/core.rs
@@ -1,51 +1,19 @@
 //! The one owner of the module: events in, one round of decisions, actions out. It decides nothing itself.
 use crate::calls::{self, Cancel, Client, Member};
 use crate::config::Config;
-use crate::discovery::List;
-use crate::journal::{wall_ms, Begun, Ending, Journal, Record, Taken};
+use crate::inbox::{Input, Reply};
+use crate::list::List;
 use crate::notices::Notice;
-use leadfold::api::*;
-use leadfold::rules::Sender;
-use leadfold::settings::Around;
+use nickelshed_journal::{wall_ms, Begun, Ending, Journal, Record, Taken};
+use nickelshed_policy::api::*;
+use nickelshed_policy::rules::Sender;
+use nickelshed_settings::Around;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep_until, timeout, Instant};
 
-/// What a client is answered.
-#[derive(Clone, Copy, Debug)]
-pub enum Reply {
-    TakenOn,
-    /// Handing it in again is harmless; after how long, if that is known.
-    Refused(Option<Duration>),
-    Failed,
-    /// No list has named its destination.
-    NoDestination,
-    /// Its id is that of another message that is held.
-    Conflict,
-}
-
-pub enum Input {
-    /// A message handed in; `taken.id` is given by the core.
-    Offer {
-        taken: Taken,
-        end: Instant,
-        reply: oneshot::Sender<Reply>,
-    },
-    List(List),
-    Ended(Vec<AttemptEnd>),
-    Probed {
-        endpoint: EndpointId,
-        outcome: Outcome,
-        report: Option<Report>,
-    },
-    /// The platform has answered for these notices.
-    Noticed(Vec<u64>),
-    /// No client can come any more: end once nothing is left to do, and start nothing new after this time.
-    Wind(Instant),
-}
-
 /// A message that the module has not ended.
 struct Held {
     taken: Rc<Taken>,
--- a/src/bin/nickelshed/discovery.rs
+++ b/crates/nickelshed/src/discovery.rs
@@ -1,62 +1,12 @@
 //! The list of endpoints: the whole list once, then a watch that goes out again at once.
 use crate::connections::{self, Connection};
-use crate::core::Input;
-use crate::journal::MAX_NAME;
-use serde::Deserialize;
-use serde_json::Value;
+use crate::inbox::Input;
+use crate::list::List;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
-#[derive(Clone, Debug)]
-pub struct Instance {
-    pub name: String,
-    pub address: SocketAddr,
-    pub zone: String,
-    pub kind: String,
-    pub dest: u64,
-    pub lifecycle: String,
-    pub weight: f64,
-}
-
-#[derive(Deserialize, Clone, Debug, Default)]
-pub struct List {
-    #[serde(default)]
-    pub generation: u64,
-    #[serde(default)]
-    pub reset: bool,
-    #[serde(default)]
-    instances: Vec<Value>,
-}
-
-impl List {
-    /// The entries that can be read; one that can't be does not cost the others.
-    pub fn instances(&self) -> impl Iterator<Item = Instance> + '_ {
-        self.instances.iter().filter_map(|v| {
-            let read = instance(v);
-            if read.is_none() {
-                tracing::warn!(entry = %v, "a list entry can't be read");
-            }
-            read
-        })
-    }
-}
-
-fn instance(v: &Value) -> Option<Instance> {
-    let text = |key: &str| v.get(key).and_then(Value::as_str);
-    let name = text("instanceId").filter(|n| n.len() <= MAX_NAME)?;
-    Some(Instance {
-        name: name.to_string(),
-        address: text("hostPort")?.parse().ok()?,
-        zone: text("zone").unwrap_or_default().to_string(),
-        kind: text("machineType").unwrap_or_default().to_string(),
-        dest: v.get("cell")?.as_u64()?,
-        lifecycle: text("lifecycle")?.to_string(),
-        weight: v.get("weight").and_then(Value::as_f64).unwrap_or(0.0),
-    })
-}
-
 /// How long a watch waits, and how much longer for its answer: the agent is silent while discovery is down,
 /// and a watch begun in that time may never be answered.
 const WAIT: Duration = Duration::from_secs(5);
@@ -105,7 +55,7 @@
                 // A change builds on a list: the first answer must be whole.
                 if list.reset || known.is_some() {
                     known = Some(list.generation);
-                    let news = list.reset || !list.instances.is_empty();
+                    let news = list.reset || !list.is_empty();
                     if news && core.send(Input::List(list)).await.is_err() {
                         return;
                     }
--- /dev/null
+++ b/crates/nickelshed/src/list.rs
@@ -0,0 +1,57 @@
+//! A list of endpoints in the form in which discovery and the configuration give it.
+use nickelshed_journal::MAX_NAME;
+use serde::Deserialize;
+use serde_json::Value;
+use std::net::SocketAddr;
+
+#[derive(Clone, Debug)]
+pub struct Instance {
+    pub name: String,
+    pub address: SocketAddr,
+    pub zone: String,
+    pub kind: String,
+    pub dest: u64,
+    pub lifecycle: String,
+    pub weight: f64,
+}
+
+#[derive(Deserialize, Clone, Debug, Default)]
+pub struct List {
+    #[serde(default)]
+    pub generation: u64,
+    #[serde(default)]
+    pub reset: bool,
+    #[serde(default)]
+    instances: Vec<Value>,
+}
+
+impl List {
+    pub fn is_empty(&self) -> bool {
+        self.instances.is_empty()
+    }
+
+    /// The entries that can be read; one that can't be does not cost the others.
+    pub fn instances(&self) -> impl Iterator<Item = Instance> + '_ {
+        self.instances.iter().filter_map(|v| {
+            let read = instance(v);
+            if read.is_none() {
+                tracing::warn!(entry = %v, "a list entry can't be read");
+            }
+            read
+        })
+    }
+}
+
+fn instance(v: &Value) -> Option<Instance> {
+    let text = |key: &str| v.get(key).and_then(Value::as_str);
+    let name = text("instanceId").filter(|n| n.len() <= MAX_NAME)?;
+    Some(Instance {
+        name: name.to_string(),
+        address: text("hostPort")?.parse().ok()?,
+        zone: text("zone").unwrap_or_default().to_string(),
+        kind: text("machineType").unwrap_or_default().to_string(),
+        dest: v.get("cell")?.as_u64()?,
+        lifecycle: text("lifecycle")?.to_string(),
+        weight: v.get("weight").and_then(Value::as_f64).unwrap_or(0.0),
+    })
+}
--- a/src/bin/nickelshed/main.rs
+++ b/crates/nickelshed/src/main.rs
@@ -4,13 +4,13 @@
 mod connections;
 mod core;
 mod discovery;
-mod journal;
-mod memory;
+mod inbox;
+mod list;
 mod notices;
 mod server;
 mod wire;
 
-use leadfold::api::Class;
+use nickelshed_policy::api::Class;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -70,10 +70,14 @@
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("signals: {e}"))?;
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     let limits = &config.limits;
-    let budget = memory::Budget::new(limits.memory_mb);
-    let journal =
-        journal::Journal::open(&config.state, limits.disk_mb, config.settings.max_attempts, &budget)
-            .map_err(|e| format!("journal in {}: {e}", config.state.display()))?;
+    let budget = nickelshed_budget::Budget::new(limits.memory_mb);
+    let journal = nickelshed_journal::Journal::open(
+        &config.state,
+        limits.disk_mb,
+        config.settings.max_attempts,
+        &budget,
+    )
+    .map_err(|e| format!("journal in {}: {e}", config.state.display()))?;
     let (core_in, inbox) = mpsc::channel(INBOX);
     let (notices_in, notices) = mpsc::unbounded_channel();
     let settings = &config.settings;
@@ -129,7 +133,7 @@
         }
     };
     let _ = timeout(CLIENTS_GONE - ACCEPT_ON, gone).await;
-    let _ = core_in.send(core::Input::Wind(told + BEGIN_ON)).await;
+    let _ = core_in.send(inbox::Input::Wind(told + BEGIN_ON)).await;
     let _ = timeout((told + END).saturating_duration_since(Instant::now()), core_in.closed()).await;
     Ok(())
 }
--- a/src/bin/nickelshed/notices.rs
+++ b/crates/nickelshed/src/notices.rs
@@ -1,7 +1,7 @@
 //! Notices to the platform: how messages ended that were taken on and not delivered.
 use crate::connections::{self, Connection};
-use crate::core::Input;
-use crate::journal::Ending;
+use crate::inbox::Input;
+use nickelshed_journal::Ending;
 use serde_json::json;
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/src/bin/nickelshed/server.rs
+++ b/crates/nickelshed/src/server.rs
@@ -1,7 +1,5 @@
 //! Clients in: takes requests, checks their form, and hands them to the core.
-use crate::core::{Input, Reply};
-use crate::journal::{Taken, MAX_BODY};
-use crate::memory::Budget;
+use crate::inbox::{Input, Reply};
 use crate::wire::{Io, Socket, MAX_HEAD, MAX_HEADERS};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -11,8 +9,10 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use leadfold::api::Effect;
-use leadfold::settings::Around;
+use nickelshed_budget::Budget;
+use nickelshed_journal::{Taken, MAX_BODY};
+use nickelshed_policy::api::Effect;
+use nickelshed_settings::Around;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -235,7 +235,7 @@
         let Some(share) = self.budget.claim(length as usize) else { return closing(refused(None)) };
         taken.share = Some(share);
         let end = Instant::now() + left;
-        taken.end = crate::journal::wall_ms() + left.as_millis() as i64;
+        taken.end = nickelshed_journal::wall_ms() + left.as_millis() as i64;
         taken.body = match timeout_at(by, Limited::new(body, MAX_BODY).collect()).await {
             // Copied: the library's own buffer, of which this is a part, is far larger than most messages.
             Ok(Ok(body)) => Bytes::copy_from_slice(&body.to_bytes()),
--- a/tests/sender.rs
+++ b/crates/nickelshed/tests/sender.rs
@@ -1,7 +1,6 @@
 //! The real sender against small peers over loopback: every verdict waits for an event, none for a clock.
-mod peers;
 use base64::Engine;
-use peers::*;
+use nickelshed_testkit::*;
 use serde_json::{json, Value};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -9,6 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+const PROGRAM: &str = env!("CARGO_BIN_EXE_nickelshed");
+
 /// The first call gets `first`, all others 200.
 fn first_then_ok(first: impl Fn() -> Reply + Send + Sync + 'static) -> Peer {
     let calls = AtomicUsize::new(0);
@@ -17,7 +18,7 @@
 
 fn one_endpoint(endpoint: &Peer) -> (Discovery, Node) {
     let discovery = Discovery::new(json!([ready("e-1", endpoint.address, 7)]));
-    let node = Node::start(&discovery);
+    let node = Node::start(PROGRAM, &discovery);
     (discovery, node)
 }
 
@@ -125,7 +126,7 @@
 fn a_refused_connection_never_ran_so_the_message_is_handed_back() {
     let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     let discovery = Discovery::new(json!([ready("e-1", closed, 7)]));
-    let node = Node::start(&discovery);
+    let node = Node::start(PROGRAM, &discovery);
     assert_eq!(node.hand_in("order", "m", 7, 1_000, b"x"), 202);
     assert_eq!(discovery.wait_notice("m")["outcome"], "handed_back");
 }
@@ -167,7 +168,7 @@
         answer("200 OK", "", &json!(ends).to_string())
     });
     let discovery = Discovery::new(json!([instance("e-1", endpoint.address, 7, "many", "Ready")]));
-    let node = Node::start(&discovery);
+    let node = Node::start(PROGRAM, &discovery);
     assert_eq!(node.hand_in("alert", "done.first", 7, 16_000, b"0"), 202);
     endpoint.wait_for("done.first", 1);
     for id in ["done.1", "failed.2", "void.3", "busy.4", "used_up.5"] {
@@ -208,7 +209,7 @@
     let endpoint = first_then_ok(|| answer("429 Wait", "Retry-After: 1.5\r\n", ""));
     endpoint.also(|request| all_done(request).map(|ends| answer("200 OK", "", &ends)));
     let discovery = Discovery::new(json!([instance("e-1", endpoint.address, 7, "many", "Ready")]));
-    let node = Node::start(&discovery);
+    let node = Node::start(PROGRAM, &discovery);
     assert_eq!(node.hand_in("order", "0", 7, 16_000, b"0"), 202);
     endpoint.wait_for("0", 1);
     for id in ["1", "2", "3", "4"] {
@@ -230,7 +231,7 @@
 fn the_same_message_handed_in_again_while_it_is_held_is_taken_on_once() {
     let endpoint = Peer::new(|_| ok());
     let discovery = Discovery::new(json!([closed(7)]));
-    let node = Node::start(&discovery);
+    let node = Node::start(PROGRAM, &discovery);
     for _ in 0..2 {
         assert_eq!(node.hand_in("order", "m", 7, 16_000, b"x"), 202);
     }
@@ -244,7 +245,7 @@
 fn past_the_bound_what_waited_is_handed_back_with_a_time_and_the_door_refuses() {
     let endpoint = Peer::new(|_| Reply::Hang);
     let discovery = Discovery::new(json!([ready("e-1", endpoint.address, 7)]));
-    let node = Node::with(&discovery, json!([]), |c| {
+    let node = Node::with(PROGRAM, &discovery, json!([]), |c| {
         c["settings"]["Limits"]["MaxOpen"] = json!(30);
         c["settings"]["FamilyInfo"]["CallsOut"] = json!(4);
     });
@@ -271,7 +272,7 @@
 fn a_kill_before_any_attempt_leaves_the_message_to_the_next_process() {
     let endpoint = Peer::new(|_| ok());
     let discovery = Discovery::new(json!([closed(7)]));
-    let mut node = Node::start(&discovery);
+    let mut node = Node::start(PROGRAM, &discovery);
     assert_eq!(node.hand_in("order", "m", 7, 16_000, b"body"), 202);
     node.kill();
     discovery.set(json!([ready("e-1", endpoint.address, 7)]));
@@ -308,7 +309,7 @@
 fn the_window_of_a_key_counts_from_the_first_attempt_over_a_restart() {
     let endpoint = first_then_ok(|| Reply::Hang);
     let discovery = Discovery::new(json!([ready("e-1", endpoint.address, 7)]));
-    let mut node = Node::with(&discovery, json!([]), |c| {
+    let mut node = Node::with(PROGRAM, &discovery, json!([]), |c| {
         c["settings"]["Services"][0]["WindowNs"] = json!(300_000_000);
     });
     assert_eq!(node.hand_in("alert", "m", 7, 16_000, b"x"), 202);
@@ -330,7 +331,7 @@
 fn what_ran_out_of_time_while_the_sender_was_down_ends_at_once_and_a_notice_is_repeated_until_it_is_answered()
 {
     let discovery = Discovery::new(json!([closed(7)]));
-    let mut node = Node::start(&discovery);
+    let mut node = Node::start(PROGRAM, &discovery);
     assert_eq!(node.hand_in("order", "m", 7, 300, b"x"), 202);
     node.kill();
     std::thread::sleep(Duration::from_millis(400));
@@ -352,7 +353,7 @@
         }
     });
     let discovery = Discovery { peer: platform, ..discovery };
-    let node = Node::start(&discovery);
+    let node = Node::start(PROGRAM, &discovery);
     assert_eq!(node.hand_in("order", "n", 7, 300, b"x"), 202);
     let posts = |s: &[Request]| s.iter().filter(|r| r.first.starts_with("POST")).count();
     discovery.peer.wait("the notice three times", |s| posts(s) == 3);
@@ -363,7 +364,7 @@
 fn a_torn_tail_is_cut_and_what_is_before_it_lives() {
     let endpoint = Peer::new(|_| ok());
     let discovery = Discovery::new(json!([closed(7)]));
-    let mut node = Node::start(&discovery);
+    let mut node = Node::start(PROGRAM, &discovery);
     for id in ["whole", "torn"] {
         assert_eq!(node.hand_in("order", id, 7, 16_000, &[7; 300]), 202);
     }
@@ -392,7 +393,7 @@
 #[test]
 fn a_damaged_journal_is_never_fatal() {
     let discovery = Discovery::new(json!([closed(7)]));
-    let mut node = Node::start(&discovery);
+    let mut node = Node::start(PROGRAM, &discovery);
     node.kill();
     let noise: Vec<u8> = (0..5_000u32).map(|i| (i.wrapping_mul(2_654_435_761) >> 13) as u8).collect();
     std::fs::write(node.state().join("journal"), noise).unwrap();
@@ -405,7 +406,7 @@
     let endpoint = Peer::new(|_| ok());
     let discovery = Discovery::new(json!([ready("e-1", endpoint.address, 7), closed(9)]));
     let limit = 400_000;
-    let mut node = Node::with(&discovery, json!([]), |c| c["limits"]["disk_mb"] = json!(0.4));
+    let mut node = Node::with(PROGRAM, &discovery, json!([]), |c| c["limits"]["disk_mb"] = json!(0.4));
     // Far more than fits, were nothing dropped.
     for i in 0..60 {
         let id = format!("m{i}");
@@ -447,7 +448,7 @@
         ok()
     });
     let discovery = Discovery::new(json!([ready("e-1", endpoint.address, 7), closed(9)]));
-    let mut node = Node::start(&discovery);
+    let mut node = Node::start(PROGRAM, &discovery);
     assert_eq!(node.hand_in("order", "out", 7, 16_000, b"x"), 202);
     assert_eq!(node.hand_in("order", "held", 9, 16_000, b"x"), 202);
     node.until("the call is out", || arrived.load(Ordering::SeqCst) == 1);
@@ -483,7 +484,7 @@
 fn out_of_sockets_it_turns_clients_away_and_goes_on() {
     let endpoint = Peer::new(|_| ok());
     let discovery = Discovery::new(json!([ready("e-1", endpoint.address, 7)]));
-    let node = Node::with(&discovery, json!([]), |c| c["limits"]["sockets"] = json!(64));
+    let node = Node::with(PROGRAM, &discovery, json!([]), |c| c["limits"]["sockets"] = json!(64));
     // 40 are left to share: 15 for calls, 23 for clients, two more that are only told to come again.
     let full: Vec<TcpStream> = (0..23).map(|_| TcpStream::connect(node.address).unwrap()).collect();
     let (status, headers) = node.hand_in_full("alert", "one more", 7, 16_000, b"x");
@@ -512,7 +513,7 @@
 #[test]
 fn an_idle_sender_ends_after_sigterm() {
     let discovery = Discovery::new(json!([]));
-    let mut node = Node::start(&discovery);
+    let mut node = Node::start(PROGRAM, &discovery);
     // A client's idle connection must not hold it up.
     let _idle = TcpStream::connect(node.address).unwrap();
     node.terminate();
@@ -563,7 +564,7 @@
     let (slow, other) = (Slow::new(), Peer::new(|_| ok()));
     let discovery = Discovery::new(json!([ready("e-1", slow.address, 7)]));
     let patient = |c: &mut Value| c["settings"]["Limits"]["DialTimeoutNs"] = json!(20_000_000_000u64);
-    let node = Node::with(&discovery, json!([]), patient);
+    let node = Node::with(PROGRAM, &discovery, json!([]), patient);
     let address = slow.address;
     assert_eq!(node.hand_in("order", "m", 7, 16_000, b"x"), 202);
     discovery
@@ -581,7 +582,7 @@
     let (slow, other) = (Slow::new(), first_then_ok(|| answer("429 Wait", "Retry-After: 3\r\n", "")));
     let discovery = Discovery::new(json!([ready("e-1", slow.address, 7), ready("e-2", other.address, 7)]));
     let patient = |c: &mut Value| c["settings"]["Limits"]["DialTimeoutNs"] = json!(20_000_000_000u64);
-    let node = Node::with(&discovery, json!([]), patient);
+    let node = Node::with(PROGRAM, &discovery, json!([]), patient);
     assert_eq!(node.hand_in("order", "connecting", 7, 16_000, b"x"), 202);
     assert_eq!(node.hand_in("order", "told", 7, 16_000, b"x"), 202);
     let told = other.wait_for("told", 1).remove(0).at;
@@ -601,7 +602,7 @@
     let discovery = Discovery::new(json!([]));
     discovery.silence();
     let known = json!([ready("e-1", endpoint.address, 7), closed(8), {"instanceId": "unreadable"}]);
-    let mut node = Node::with(&discovery, known, |_| {});
+    let mut node = Node::with(PROGRAM, &discovery, known, |_| {});
     assert_eq!(node.hand_in("alert", "m", 7, 16_000, b"x"), 202);
     endpoint.wait_for("m", 1);
     // Another destination's endpoint is none of this one's, however few there are.
@@ -669,7 +670,7 @@
 fn a_new_configuration_moves_watch_and_notices_and_holds_over_a_restart() {
     let endpoint = Peer::new(|_| ok());
     let old = Discovery::new(json!([ready("e-1", endpoint.address, 7), closed(8)]));
-    let mut node = Node::start(&old);
+    let mut node = Node::start(PROGRAM, &old);
     // The old platform reads a notice and never answers it.
     old.peer.also(|r| r.first.starts_with("POST").then_some(Reply::Hang));
     assert_eq!(node.hand_in("order", "unanswered", 8, 300, b"x"), 202);
@@ -765,7 +766,7 @@
     let endpoint = Peer::new(|_| ok());
     let discovery = Discovery::new(json!([ready("e-1", endpoint.address, 7)]));
     // 23 places for clients; past three quarters of them an answer ends its connection.
-    let node = Node::with(&discovery, json!([]), |c| c["limits"]["sockets"] = json!(64));
+    let node = Node::with(PROGRAM, &discovery, json!([]), |c| c["limits"]["sockets"] = json!(64));
     let kept: Vec<TcpStream> = (0..17)
         .map(|i| {
             let mut stream = TcpStream::connect(node.address).unwrap();
@@ -800,7 +801,7 @@
 fn an_open_id_from_another_client_is_a_conflict_and_a_deadline_is_held_to_its_class() {
     let endpoint = Peer::new(|_| ok());
     let discovery = Discovery::new(json!([closed(7)]));
-    let node = Node::with(&discovery, json!([]), |c| {
+    let node = Node::with(PROGRAM, &discovery, json!([]), |c| {
         c["settings"]["Services"][1]["DeadlineNs"] = json!(300_000_000u64);
     });
     assert_eq!(node.hand_in("alert", "m", 7, 16_000, b"mine"), 202);
@@ -820,7 +821,7 @@
 fn bodies_are_held_to_a_budget_of_memory() {
     let endpoint = Peer::new(|_| ok());
     let discovery = Discovery::new(json!([closed(7)]));
-    let node = Node::with(&discovery, json!([]), |c| c["limits"]["memory_mb"] = json!(5));
+    let node = Node::with(PROGRAM, &discovery, json!([]), |c| c["limits"]["memory_mb"] = json!(5));
     let large = |i: u32| node.hand_in_full("alert", &format!("large{i}"), 7, 16_000, &[1; 60_000]);
     let refused = (0..40).map(large).find(|(status, _)| *status != 202).expect("a bound");
     assert_eq!(refused.0, 503);
@@ -895,7 +896,7 @@
         all_done(request).map(cut)
     });
     let discovery = Discovery::new(json!([instance("e-1", endpoint.address, 7, "many", "Ready")]));
-    let node = Node::start(&discovery);
+    let node = Node::start(PROGRAM, &discovery);
     assert_eq!(node.hand_in("order", "0", 7, 16_000, b"0"), 202);
     endpoint.wait_for("0", 1);
     for id in ["1", "2"] {
