--- /dev/null
+++ b/crates/nickelshed-journal/src/journal.rs
@@ -0,0 +1,806 @@
+//! The log of a folder: appends, copying, removal, and the order of syncs. It decides when nothing; `pace` does.
+use crate::format::{self, bound, Frames, Header, Place, FRAME, HEADER};
+use crate::legacy;
+use crate::pace::{Room, STEP};
+use crate::record::{Begun, Ending, Live, Record, Taken, UNKNOWN};
+use crate::recover::{self, Damage, Failed, Torn};
+use crate::storage::{Handle, Storage};
+use crate::table::Table;
+use nickelshed_budget::Budget;
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt;
+use std::hash::{BuildHasher, Hasher};
+use std::io;
+use std::rc::Rc;
+
+/// What an append outlasts before its round counts as kept.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Durability {
+    /// The end of the process, by whatever signal.
+    #[default]
+    Process,
+    /// The loss of power too: a round is kept once its sync has come back.
+    Machine,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Bytes that the folder may take on the disk, each file in whole blocks of 512.
+    pub disk: u64,
+    /// Attempts of a message at most; their records' room is claimed as it is taken on.
+    pub max_attempts: u32,
+    pub durability: Durability,
+}
+
+/// Rounds count from 1 in each process.
+pub type Round = u64;
+
+/// Bytes of messages that are to be taken on in one round.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Claim {
+    claimed: u64,
+    frame: u64,
+}
+
+#[derive(Debug)]
+pub enum OpenError {
+    /// Another process runs on this folder.
+    InUse,
+    /// The folder was written by a newer version of this program, and was left as it is.
+    Newer {
+        file: String,
+        version: u16,
+    },
+    Io {
+        what: String,
+        error: io::Error,
+    },
+}
+
+impl fmt::Display for OpenError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            OpenError::InUse => {
+                write!(f, "another process runs on this folder: give each sender a state folder of its own")
+            }
+            OpenError::Newer { file, version } => write!(
+                f,
+                "{file} has format {version}, this program reads up to {}: start the newer program again, \
+                 or let it deliver what it holds first. Nothing was changed",
+                format::VERSION
+            ),
+            OpenError::Io { what, error } => write!(f, "{what}: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for OpenError {}
+
+fn failed(what: impl fmt::Display) -> impl FnOnce(io::Error) -> OpenError {
+    move |error| OpenError::Io { what: what.to_string(), error }
+}
+
+/// What opening a folder found.
+#[derive(Debug, Default)]
+pub struct Found {
+    pub torn: Option<Torn>,
+    pub damage: Vec<Damage>,
+    /// Messages of which an attempt is supposed since its record may be lost.
+    pub doubted: usize,
+    /// Where the damaged bytes stand now, if there was room to keep them.
+    pub set_aside: Vec<String>,
+    /// Messages taken over from the file of the version before.
+    pub imported: usize,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Stats {
+    /// Bytes of the rounds that were appended, frames included.
+    pub appended: u64,
+    /// Bytes that were copied to free room.
+    pub copied: u64,
+    pub segments: usize,
+    pub messages: usize,
+    pub room: Room,
+    /// Bytes on the disk, in whole blocks.
+    pub disk: u64,
+}
+
+struct Segment<F> {
+    seq: u64,
+    file: F,
+    /// Bytes that hold good.
+    good: u64,
+    /// Bytes that it may take on the disk.
+    length: u64,
+    /// Messages whose whole record was written here, in order; some have ended or moved on since.
+    ids: VecDeque<u64>,
+    /// All that lived here stands elsewhere since this round.
+    emptied: Option<Round>,
+    dirty: bool,
+}
+
+/// A sync to be run, on any thread; its result goes to [`Journal::synced`].
+#[derive(Debug)]
+pub struct Sync<F> {
+    files: Vec<F>,
+    folder: Option<F>,
+    upto: Round,
+}
+
+#[derive(Debug)]
+pub struct Synced {
+    upto: Round,
+    result: io::Result<()>,
+}
+
+impl Synced {
+    pub fn error(&self) -> Option<&io::Error> {
+        self.result.as_ref().err()
+    }
+}
+
+impl<F: Handle> Sync<F> {
+    pub fn run(self) -> Synced {
+        // Files first: a name that lasts leads to bytes that last.
+        let result = self.files.iter().chain(&self.folder).try_for_each(Handle::sync);
+        Synced { upto: self.upto, result }
+    }
+}
+
+pub struct Journal<S: Storage> {
+    storage: S,
+    folder: S::File,
+    options: Options,
+    nonce: u64,
+    /// Oldest first; the last one is written to.
+    segments: VecDeque<Segment<S::File>>,
+    next_seq: u64,
+    table: Table,
+    frames: Frames,
+    /// The last segment may hold more than its good bytes, or must not be written to: go on in a new one.
+    roll: bool,
+    ballast: bool,
+    /// When it was last tried to write it, Unix time in milliseconds.
+    ballast_tried: i64,
+    /// Bytes of other files in the folder.
+    others: u64,
+    round: Round,
+    durable: Round,
+    /// The last round that stands on the disk. Those before it need not, while a failed sync is being made up for.
+    on_disk: Round,
+    folder_dirty: bool,
+    syncing: bool,
+    /// A sync failed: all that these segments hold must be written once more elsewhere.
+    rewrite: Option<u64>,
+    /// Damaged segments that are kept under another name.
+    aside: Vec<u64>,
+    stats: Stats,
+}
+
+/// Segments are this part of the room.
+const SEGMENTS: u64 = 16;
+const LEAST_SEGMENT: u64 = 16 << 10;
+const MOST_SEGMENT: u64 = 4 << 20;
+/// Part of the disk's limit that stays free for the folder itself and for rounding.
+const SLACK: f64 = 0.06;
+const BLOCK: u64 = 512;
+/// Held back so that what is held can go on when the disk is full of other programs' bytes.
+const BALLAST: &str = "ballast";
+const MOST_BALLAST: u64 = 128 << 10;
+/// How often room is looked for on a disk that was full, in milliseconds.
+const BALLAST_AGAIN: i64 = 1_000;
+const DAMAGED: &str = "damaged-";
+const LEGACY: &str = "journal";
+const LEGACY_NEW: &str = "journal.new";
+/// The file of the version before, from when its import begins until it is whole.
+const IMPORTING: &str = "journal.v0";
+
+pub fn segment_name(seq: u64) -> String {
+    format!("segment-{seq:016x}")
+}
+
+fn aside_name(seq: u64) -> String {
+    format!("{DAMAGED}{seq:016x}")
+}
+
+/// The number of a segment's file.
+pub fn segment_number(name: &str) -> Option<u64> {
+    let digits = name.strip_prefix("segment-")?;
+    (digits.len() == 16).then(|| u64::from_str_radix(digits, 16).ok()).flatten()
+}
+
+/// Files that are the journal's own and hold no message.
+pub fn is_aside(name: &str) -> bool {
+    name == BALLAST || name == "lock" || name.starts_with(DAMAGED)
+}
+
+fn blocks(length: u64) -> u64 {
+    length.div_ceil(BLOCK) * BLOCK
+}
+
+impl<S: Storage> Journal<S> {
+    /// Opens a folder, or makes it one. `now` is Unix time in milliseconds.
+    ///
+    /// # Errors
+    /// If another process has it, a newer version wrote it, or its files can't be read or written. Nothing that
+    /// was held is lost by a failure here.
+    pub fn open(
+        mut storage: S,
+        options: Options,
+        budget: &Budget,
+        now: i64,
+    ) -> Result<(Journal<S>, Found), OpenError> {
+        match storage.lock() {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Err(OpenError::InUse),
+            other => other.map_err(failed("cannot lock the folder"))?,
+        }
+        let files = storage.list().map_err(failed("cannot list the folder"))?;
+        let numbered: Vec<(u64, u64)> =
+            files.iter().filter_map(|(name, length)| Some((segment_number(name)?, *length))).collect();
+        let read = |seq, most| storage.read(&segment_name(seq), most);
+        let recovered = recover::replay(&numbered, options.durability == Durability::Machine, read).map_err(
+            |e| match e {
+                Failed::Newer { seq, version } => OpenError::Newer { file: segment_name(seq), version },
+                Failed::Io { seq, error } => failed(format!("cannot read {}", segment_name(seq)))(error),
+            },
+        )?;
+        let folder = storage.folder().map_err(failed("cannot open the folder"))?;
+        let mut journal = Journal {
+            folder,
+            options,
+            nonce: recovered.nonce.unwrap_or_else(nonce),
+            segments: VecDeque::new(),
+            next_seq: recovered.segments.last().map_or(1, |s| s.seq + 1),
+            table: recovered.table,
+            frames: Frames::default(),
+            roll: true,
+            ballast: files.iter().any(|(name, _)| name == BALLAST),
+            ballast_tried: i64::MIN,
+            others: 0,
+            round: 0,
+            durable: 0,
+            on_disk: 0,
+            folder_dirty: true,
+            syncing: false,
+            rewrite: None,
+            aside: Vec::new(),
+            stats: Stats::default(),
+            storage,
+        };
+        let mut found = Found {
+            torn: recovered.torn,
+            damage: recovered.damage,
+            doubted: recovered.doubted,
+            ..Found::default()
+        };
+        for seq in recovered.useless {
+            let name = segment_name(seq);
+            journal.storage.remove(&name).map_err(failed(format!("cannot remove {name}")))?;
+        }
+        let mut by_segment: BTreeMap<u64, VecDeque<u64>> = BTreeMap::new();
+        for live in journal.table.live().values() {
+            by_segment.entry(live.base).or_default().push_back(live.taken.id);
+        }
+        for s in recovered.segments {
+            let name = segment_name(s.seq);
+            let file = journal.storage.open(&name).map_err(failed(format!("cannot open {name}")))?;
+            let ids = by_segment.remove(&s.seq).unwrap_or_default();
+            journal.segments.push_back(Segment {
+                seq: s.seq,
+                file,
+                good: s.good,
+                length: s.length,
+                ids,
+                emptied: None,
+                dirty: true,
+            });
+        }
+        let ours = |name: &str| segment_number(name).is_some() || [BALLAST, LEGACY_NEW].contains(&name);
+        journal.others = files.iter().filter(|(n, _)| !ours(n)).map(|(_, length)| blocks(*length)).sum();
+        journal.hold_ballast(now);
+        journal.set_aside(&mut found, &files, now)?;
+        journal.import(&mut found, &files, now)?;
+        for live in journal.table.live_mut() {
+            // Nobody else has it yet.
+            if let Some(taken) = Rc::get_mut(&mut live.taken) {
+                taken.share = Some(budget.owe(taken.body.len()));
+            }
+        }
+        // What a process before wrote was kept from its own end, but perhaps not from the machine's.
+        journal.sync_here()?;
+        Ok((journal, found))
+    }
+
+    /// Damaged segments are emptied like old ones, at once; what was in them stays for somebody to look at.
+    fn set_aside(&mut self, found: &mut Found, files: &[(String, u64)], now: i64) -> Result<(), OpenError> {
+        let damaged: Vec<u64> = found.damage.iter().filter(|d| d.to > 0).map(|d| d.seq).collect();
+        let Some(&last) = damaged.iter().max() else { return Ok(()) };
+        for (name, length) in files.iter().filter(|(name, _)| name.starts_with(DAMAGED)) {
+            self.storage.remove(name).map_err(failed(format!("cannot remove {name}")))?;
+            self.others -= blocks(*length);
+        }
+        let most = self.total() / 8;
+        let small = self.segments.iter().filter(|s| damaged.contains(&s.seq) && blocks(s.length) <= most);
+        self.aside = small.map(|s| s.seq).collect();
+        found.set_aside = self.aside.iter().map(|seq| aside_name(*seq)).collect();
+        while self.segments.front().is_some_and(|s| s.seq <= last) {
+            let before = (self.round, self.segments.len());
+            self.copy(STEP, now, |_| true)
+                .map_err(failed("cannot copy what stands beside damaged records"))?;
+            self.sync_here()?;
+            self.clean().map_err(failed("cannot set damaged records aside"))?;
+            if before == (self.round, self.segments.len()) {
+                let full = io::ErrorKind::StorageFull.into();
+                return Err(failed("no room to copy what stands beside damaged records")(full));
+            }
+        }
+        Ok(())
+    }
+
+    /// While the folder is opened there is nobody to wait for it.
+    fn sync_here(&mut self) -> Result<(), OpenError> {
+        match self.sync().map(Sync::run) {
+            Some(synced) => self.note_synced(synced).map_err(failed("cannot sync the folder")),
+            None => Ok(()),
+        }
+    }
+
+    /// Takes over what the version before has left. Its file goes only once all of it stands in a segment.
+    fn import(&mut self, found: &mut Found, files: &[(String, u64)], now: i64) -> Result<(), OpenError> {
+        let has = |name: &str| files.iter().find(|(n, _)| n == name).map(|(_, length)| *length);
+        if has(LEGACY_NEW).is_some() {
+            // A rewrite that was cut short: the file itself still holds everything.
+            self.storage.remove(LEGACY_NEW).map_err(failed("cannot remove journal.new"))?;
+        }
+        let (length, again) = match (has(IMPORTING), has(LEGACY)) {
+            (Some(length), _) => (length, true),
+            (None, Some(length)) => {
+                self.storage.rename(LEGACY, IMPORTING).map_err(failed("cannot rename journal"))?;
+                // Else an import that is cut short by the loss of the machine could pass for a journal of its own.
+                self.folder_dirty = true;
+                self.sync_here()?;
+                (length, false)
+            }
+            (None, None) => return Ok(()),
+        };
+        let bytes = self.storage.read(IMPORTING, length).map_err(failed("cannot read journal.v0"))?;
+        let (old, torn) = legacy::read(&bytes);
+        if torn > 0 {
+            let cut = Torn { seq: 0, kept: length - torn as u64, cut: torn as u64 };
+            found.torn = found.torn.take().or(Some(cut));
+        }
+        let known: std::collections::HashMap<String, u64> =
+            self.table.live().iter().map(|(id, l)| (l.taken.trace.clone(), *id)).collect();
+        for mut live in old {
+            let known = known.get(&live.taken.trace).and_then(|id| self.table.live().get(id));
+            match known {
+                // Brought over by an import that was cut short; nothing has happened to it since.
+                Some(here) if again && here.attempts == live.attempts && here.ending == live.ending => {
+                    continue
+                }
+                Some(here) if again => live = Live { taken: here.taken.clone(), ..live },
+                // Handed in to both programs: it is one message, and what either tried counts.
+                Some(here) => {
+                    let tried = live.attempts.into_iter().filter(|a| !a.never_ran);
+                    let tried = tried.map(|a| Begun { number: UNKNOWN, ..a });
+                    let attempts = here.attempts.iter().cloned().chain(tried).collect();
+                    live = Live { attempts, ending: here.ending.or(live.ending), ..here.clone() };
+                }
+                // Numbers are given anew, since others may have been given out.
+                None => {
+                    if let Some(taken) = Rc::get_mut(&mut live.taken) {
+                        taken.id = self.table.next_id();
+                    }
+                }
+            }
+            self.frames.clear();
+            format::encode_whole(&live, self.frames.begin());
+            let seq = self.write(now).map_err(failed("cannot take over journal.v0"))?;
+            let id = live.taken.id;
+            self.table.read(format::Entry::Whole(live.taken, live.attempts, live.ending), seq);
+            self.note_base(id);
+            found.imported += 1;
+        }
+        self.sync_here()?;
+        self.storage.remove(IMPORTING).map_err(failed("cannot remove journal.v0"))?;
+        self.others = self.others.saturating_sub(blocks(length));
+        Ok(())
+    }
+
+    /// What lives, by number.
+    pub fn live(&self) -> &BTreeMap<u64, Live> {
+        self.table.live()
+    }
+
+    /// A number that no record in the folder has.
+    pub fn next_id(&self) -> u64 {
+        self.table.next_id()
+    }
+
+    pub fn stats(&self) -> Stats {
+        let disk = self.disk();
+        let (segments, messages) = (self.segments.len(), self.table.live().len());
+        Stats { segments, messages, room: self.room(), disk, ..self.stats }
+    }
+
+    fn disk(&self) -> u64 {
+        let ballast = if self.ballast { self.ballast_size() } else { 0 };
+        self.log() + self.others + ballast
+    }
+
+    fn log(&self) -> u64 {
+        self.segments.iter().map(|s| blocks(s.length)).sum()
+    }
+
+    /// What is never passed. Between it and `total` lies what rounding to blocks may take.
+    fn limit(&self) -> u64 {
+        (self.options.disk as f64 * (1.0 - SLACK / 2.0)) as u64
+    }
+
+    /// What segments may take.
+    fn total(&self) -> u64 {
+        let usable = (self.options.disk as f64 * (1.0 - SLACK)) as u64;
+        usable.saturating_sub(self.others + self.ballast_size()) / BLOCK * BLOCK
+    }
+
+    fn ballast_size(&self) -> u64 {
+        (self.options.disk / SEGMENTS / 2).min(MOST_BALLAST) / BLOCK * BLOCK
+    }
+
+    fn target(&self) -> u64 {
+        (self.total() / SEGMENTS).clamp(LEAST_SEGMENT, MOST_SEGMENT)
+    }
+
+    fn room(&self) -> Room {
+        let attempts = self.max_attempts();
+        let each = bound::to_come(attempts) + bound::growth(attempts);
+        let longest = self.segments.iter().map(|s| s.length).max().unwrap_or(0);
+        Room {
+            total: self.total(),
+            log: self.log(),
+            live: self.table.bytes(),
+            owed: each * self.table.live().len() as u64,
+            spare: self.target().max(longest) + 4 * BLOCK,
+        }
+    }
+
+    fn max_attempts(&self) -> u64 {
+        u64::from(self.options.max_attempts.min(1_000))
+    }
+
+    /// Claims room for a message with all that may come to be written of it, besides what this round has claimed
+    /// already. False if there is none: then it must not be taken on.
+    pub fn claim(&mut self, taken: &Taken, round: &mut Claim, now: i64) -> bool {
+        let attempts = self.max_attempts();
+        let record = bound::taken(taken);
+        let claim = record + bound::to_come(attempts) + bound::growth(attempts);
+        let next = Claim { claimed: round.claimed + claim, frame: round.frame + record };
+        let fits = |room: Room| {
+            // This round may make the longest segment yet, and that must be copied some day.
+            let spare = room.spare.max(next.frame + (HEADER + FRAME) as u64);
+            Room { spare, ..room }.free() >= next.claimed
+        };
+        if self.rewrite.is_some() || !self.hold_ballast(now) {
+            return false;
+        }
+        if !fits(self.room()) {
+            // Appends pace the copying. Where nothing could be taken on there may be none.
+            let _ = self.copy(STEP, now, Room::pays);
+            if !fits(self.room()) {
+                return false;
+            }
+        }
+        *round = next;
+        true
+    }
+
+    /// Writes the records of a round at once, and copies some of what lives if room is short. `now` is Unix time in
+    /// milliseconds.
+    ///
+    /// # Errors
+    /// If it fails nothing of the round holds, now or after a restart.
+    pub fn append(&mut self, records: &[Record], now: i64) -> io::Result<Round> {
+        if records.is_empty() {
+            return Ok(self.round);
+        }
+        self.frames.clear();
+        let frame = self.frames.begin();
+        records.iter().for_each(|r| format::encode(r, frame));
+        let length = self.frames.len();
+        let seq = self.write(now)?;
+        for record in records {
+            self.table.apply(record, seq);
+            if let Record::Taken(taken) = record {
+                self.note_base(taken.id);
+            }
+        }
+        self.stats.appended += length;
+        let round = self.round;
+        let step = if self.rewrite.is_some() { STEP } else { self.room().step(length) };
+        if step > 0 {
+            let rewrite = self.rewrite;
+            // What could not be copied stays where it is.
+            let _ = self.copy(step, now, |room| rewrite.is_some() || room.pays());
+        }
+        let _ = self.clean();
+        Ok(round)
+    }
+
+    /// Like [`Journal::append`], for what is owed to messages that are held: on a full disk it may use what was held
+    /// back for that.
+    ///
+    /// # Errors
+    /// As for `append`.
+    pub fn append_owed(&mut self, records: &[Record], now: i64) -> io::Result<Round> {
+        let result = self.append(records, now);
+        match result {
+            Err(e) if e.kind() == io::ErrorKind::StorageFull && self.ballast => {
+                // Whatever comes of its removal, it can no longer be counted on.
+                self.ballast = false;
+                self.storage.remove(BALLAST)?;
+                self.append(records, now)
+            }
+            other => other,
+        }
+    }
+
+    /// Whether new messages wait for room on the disk that other programs have taken.
+    pub fn is_short(&self) -> bool {
+        !self.ballast
+    }
+
+    /// Makes sure of the bytes held back.
+    fn hold_ballast(&mut self, now: i64) -> bool {
+        if self.ballast || now.saturating_sub(self.ballast_tried).abs() < BALLAST_AGAIN {
+            return self.ballast;
+        }
+        self.ballast_tried = now;
+        let size = self.ballast_size();
+        if self.disk() + size > self.limit() {
+            return false;
+        }
+        let made = match self.storage.create(BALLAST) {
+            // One whose removal failed, or that an end cut short.
+            Err(e) if e.kind() == io::ErrorKind::AlreadyExists => {
+                self.storage.remove(BALLAST).and_then(|()| self.storage.create(BALLAST))
+            }
+            other => other,
+        };
+        let written = made.and_then(|file| self.storage.write_all_at(&file, &vec![0; size as usize], 0));
+        self.ballast = written.is_ok();
+        if !self.ballast {
+            let _ = self.storage.remove(BALLAST);
+        }
+        self.ballast
+    }
+
+    fn note_base(&mut self, id: u64) {
+        if let Some(last) = self.segments.back_mut() {
+            last.ids.push_back(id);
+        }
+    }
+
+    /// Writes the frames that were gathered; in which segment.
+    fn write(&mut self, now: i64) -> io::Result<u64> {
+        let length = self.frames.len();
+        let target = self.target();
+        let full = |s: &Segment<S::File>| s.good > HEADER as u64 && s.good + length > target;
+        if self.roll || self.segments.back().is_none_or(full) {
+            self.roll()?;
+        }
+        if self.disk() + blocks(length) > self.limit() {
+            return Err(io::Error::new(io::ErrorKind::StorageFull, "the journal's part of the disk is full"));
+        }
+        let Some(last) = self.segments.back_mut() else { return Err(io::ErrorKind::NotFound.into()) };
+        let place = Place { nonce: self.nonce, seq: last.seq, offset: last.good };
+        let bytes = self.frames.seal(now, place);
+        let end = last.good + length;
+        last.dirty = true;
+        if let Err(e) = self.storage.write_all_at(&last.file, bytes, last.good) {
+            // Else what was written of it could be taken for a round that holds.
+            if self.storage.truncate(&last.file, last.good).is_err() {
+                last.length = last.length.max(end);
+                self.roll = true;
+            }
+            return Err(e);
+        }
+        (last.good, last.length) = (end, last.length.max(end));
+        self.round += 1;
+        Ok(last.seq)
+    }
+
+    /// Begins a new segment. Nothing is written to the one before from here on, since the new one says where it ends.
+    fn roll(&mut self) -> io::Result<()> {
+        self.roll = true;
+        let seq = self.next_seq;
+        let name = segment_name(seq);
+        let file = match self.storage.create(&name) {
+            // Left from a try that failed.
+            Err(e) if e.kind() == io::ErrorKind::AlreadyExists => {
+                self.storage.remove(&name)?;
+                self.storage.create(&name)?
+            }
+            other => other?,
+        };
+        let prev = self.segments.back().map_or(0, |s| s.good) as u32;
+        let machine = self.options.durability == Durability::Machine;
+        let first = self.segments.is_empty();
+        let header = Header { nonce: self.nonce, seq, prev, first, machine }.encode();
+        if let Err(e) = self.storage.write_all_at(&file, &header, 0) {
+            let _ = self.storage.remove(&name);
+            return Err(e);
+        }
+        let length = HEADER as u64;
+        let ids = VecDeque::new();
+        self.segments.push_back(Segment { seq, file, good: length, length, ids, emptied: None, dirty: true });
+        (self.next_seq, self.roll, self.folder_dirty) = (seq + 1, false, true);
+        Ok(())
+    }
+
+    /// Copies about so many bytes of what lives in the oldest segments, in one frame. `on`: whether to go on.
+    fn copy(&mut self, budget: u64, now: i64, on: impl Fn(&Room) -> bool) -> io::Result<()> {
+        // Copies take room until what they were made of can go, and only a part is kept free for that.
+        if self.segments.iter().any(|s| s.emptied.is_some()) {
+            return Ok(());
+        }
+        let at_once = self.options.durability == Durability::Process;
+        // On a disk that is full, only what costs no room is done.
+        let budget = if self.ballast { budget } else { 0 };
+        let last = if self.roll { self.next_seq } else { self.next_seq - 1 };
+        let mut room = self.room();
+        let (mut moved, mut emptied, mut bytes) = (Vec::new(), Vec::new(), 0);
+        for segment in self.segments.iter().filter(|s| s.seq < last) {
+            if !on(&room) || (!emptied.is_empty() && !at_once) {
+                break;
+            }
+            let lives = |id: &u64| self.table.live().get(id).is_some_and(|l| l.base == segment.seq);
+            let mut ids = segment.ids.iter().copied().filter(lives);
+            while bytes < budget {
+                let Some(id) = ids.next() else { break };
+                bytes += self.table.bytes_of(id);
+                moved.push((segment.seq, id));
+            }
+            if ids.next().is_some() {
+                break;
+            }
+            emptied.push(segment.seq);
+            room.log = room.log.saturating_sub(blocks(segment.length));
+        }
+        if moved.is_empty() && emptied.is_empty() {
+            return Ok(());
+        }
+        // A frame each: a byte that is spoilt one day costs one message.
+        self.frames.clear();
+        for (_, id) in &moved {
+            if let Some(live) = self.table.live().get(id) {
+                format::encode_whole(live, self.frames.begin());
+            }
+        }
+        if let Some(seq) = emptied.last() {
+            format::encode_floor(seq + 1, self.frames.begin());
+        }
+        let length = self.frames.len();
+        let seq = self.write(now)?;
+        self.stats.copied += length;
+        let round = self.round;
+        for &(_, id) in &moved {
+            self.table.moved(id, seq);
+            self.note_base(id);
+        }
+        for segment in &mut self.segments {
+            if emptied.contains(&segment.seq) {
+                segment.ids.clear();
+                segment.emptied = Some(round);
+            }
+        }
+        // Those of a segment that is not empty yet need no second look.
+        if let Some((seq, id)) = moved.last() {
+            if let Some(segment) = self.segments.iter_mut().find(|s| s.seq == *seq && s.emptied.is_none()) {
+                while segment.ids.pop_front().is_some_and(|first| first != *id) {}
+            }
+        }
+        let _ = self.clean();
+        Ok(())
+    }
+
+    /// Removes emptied segments whose copies are kept. What fails is tried again; until then it takes room, and a
+    /// start passes it over.
+    fn clean(&mut self) -> io::Result<()> {
+        let done = match self.options.durability {
+            Durability::Process => self.round,
+            Durability::Machine => self.on_disk,
+        };
+        while let Some(front) = self.segments.front() {
+            if front.emptied.is_none_or(|round| round > done) {
+                break;
+            }
+            let name = segment_name(front.seq);
+            if self.aside.contains(&front.seq) {
+                self.storage.rename(&name, &aside_name(front.seq))?;
+                self.others += blocks(front.length);
+            } else {
+                self.storage.remove(&name)?;
+            }
+            self.segments.pop_front();
+            self.folder_dirty = true;
+        }
+        Ok(())
+    }
+
+    /// The last round that was written.
+    pub fn last(&self) -> Round {
+        self.round
+    }
+
+    /// The last round that is kept as the durability asks. Nothing that a later one decided may be acted on.
+    pub fn kept(&self) -> Round {
+        match self.options.durability {
+            Durability::Process => self.round,
+            Durability::Machine => self.durable,
+        }
+    }
+
+    /// The next sync, if one is due and none is out. Several rounds share one.
+    pub fn sync(&mut self) -> Option<Sync<S::File>> {
+        let due = self.options.durability == Durability::Machine && !self.syncing;
+        let clean = self.round == self.durable && self.rewrite.is_none() && !self.folder_dirty;
+        if !due || clean {
+            return None;
+        }
+        let folder = self.folder_dirty.then(|| self.folder.clone());
+        let files =
+            self.segments.iter_mut().filter_map(|s| std::mem::take(&mut s.dirty).then(|| s.file.clone()));
+        let files = files.collect();
+        self.folder_dirty = false;
+        self.syncing = true;
+        Some(Sync { files, folder, upto: self.round })
+    }
+
+    /// Takes in how a sync ended.
+    pub fn synced(&mut self, synced: Synced, now: i64) {
+        if self.note_synced(synced).is_err() {
+            return;
+        }
+        let _ = self.clean();
+        if let Some(last) = self.rewrite {
+            // The next sync keeps what this copies. Once nothing is left there, all that it finds written is kept.
+            let _ = self.copy(STEP, now, |_| true);
+            if self.segments.iter().all(|s| s.seq > last || s.emptied.is_some()) {
+                self.rewrite = None;
+            }
+        }
+    }
+
+    fn note_synced(&mut self, synced: Synced) -> io::Result<()> {
+        self.syncing = false;
+        if let Err(e) = synced.result {
+            // The system may have dropped what it could not write and call the next sync a success: only bytes that
+            // are written anew can be trusted.
+            self.rewrite = self.segments.back().map(|s| s.seq);
+            self.roll = true;
+            self.folder_dirty = true;
+            return Err(e);
+        }
+        self.on_disk = self.on_disk.max(synced.upto);
+        if self.rewrite.is_none() {
+            self.durable = self.on_disk;
+        }
+        Ok(())
+    }
+}
+
+/// Nobody outside may guess it.
+fn nonce() -> u64 {
+    std::collections::hash_map::RandomState::new().build_hasher().finish()
+}
+
+impl Ending {
+    /// As the platform calls it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Ending::GivenUp => "given_up",
+            Ending::HandedBack(_) => "handed_back",
+        }
+    }
+}
--- a/crates/nickelshed-testkit/src/node.rs
+++ b/crates/nickelshed-testkit/src/node.rs
@@ -68,6 +68,15 @@
         self.folder.join("state")
     }
 
+    /// The journal's segments, oldest first.
+    pub fn segments(&self) -> Vec<PathBuf> {
+        let files = std::fs::read_dir(self.state()).unwrap().flatten().map(|f| f.path());
+        let is_segment = |p: &PathBuf| p.file_name().unwrap().to_string_lossy().starts_with("segment-");
+        let mut segments: Vec<PathBuf> = files.filter(is_segment).collect();
+        segments.sort();
+        segments
+    }
+
     /// Bytes in the lasting folder, in whole blocks.
     pub fn on_disk(&self) -> u64 {
         let files = std::fs::read_dir(self.state()).unwrap().flatten();
--- a/crates/nickelshed/src/core.rs
+++ b/crates/nickelshed/src/core.rs
@@ -4,11 +4,12 @@
 use crate::inbox::{Input, Reply};
 use crate::list::List;
 use crate::notices::Notice;
-use nickelshed_journal::{wall_ms, Begun, Ending, Journal, Record, Taken};
+use crate::wall::wall_ms;
+use nickelshed_journal::{Begun, Claim, Ending, Journal, Record, Round as Mark, Storage, Sync, Taken};
 use nickelshed_policy::api::*;
 use nickelshed_policy::rules::Sender;
 use nickelshed_settings::Around;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -47,15 +48,27 @@
     at: Instant,
     events: Vec<Event>,
     offered: BTreeMap<u64, Offered>,
-    /// Bytes of the journal that the messages of this round may come to take.
-    claimed: u64,
+    /// Room in the journal for the messages of this round.
+    claim: Claim,
 }
 
-pub struct Core {
+/// What a round has decided and may do once its records are kept.
+#[derive(Default)]
+struct Effects {
+    taken_on: BTreeMap<u64, Offered>,
+    notices: Vec<Notice>,
+    calls: Vec<(EndpointId, Vec<Member>, Rc<Cancel>)>,
+}
+
+pub struct Core<S: Storage> {
     sender: Sender,
     settings: Settings,
     around: Around,
-    journal: Journal,
+    journal: Journal<S>,
+    /// Where syncs are run, if rounds wait for them.
+    syncs: Option<std::sync::mpsc::Sender<Sync<S::File>>>,
+    /// Rounds whose records are not kept yet, in order.
+    waiting: VecDeque<(Mark, Effects)>,
     client: Rc<Client>,
     inbox: mpsc::Receiver<Input>,
     notices: mpsc::UnboundedSender<Notice>,
@@ -84,22 +97,27 @@
 const ROUND: usize = 512;
 /// For so long after it was closed an endpoint is remembered, as long as the module does: new ones come all day.
 const FORGET: Duration = Duration::from_secs(60);
+/// When a client is to come again that could not be taken on for want of disk.
+const FULL: Duration = Duration::from_secs(1);
 const FIRST_LIST: Duration = Duration::from_millis(300);
 
-impl Core {
+impl<S: Storage> Core<S> {
     pub fn new(
         config: Config,
-        journal: Journal,
+        journal: Journal<S>,
+        syncs: Option<std::sync::mpsc::Sender<Sync<S::File>>>,
         client: Rc<Client>,
         inbox: mpsc::Receiver<Input>,
         notices: mpsc::UnboundedSender<Notice>,
-    ) -> Core {
+    ) -> Core<S> {
         Core {
             sender: Sender::new(config.settings.clone(), config.seed),
             settings: config.settings,
             around: config.around,
-            next_id: journal.live().keys().next_back().map_or(0, |id| id + 1),
+            next_id: journal.next_id(),
             journal,
+            syncs,
+            waiting: VecDeque::new(),
             client,
             inbox,
             notices,
@@ -143,7 +161,7 @@
                 lost.push((id, taken, ending, false));
                 continue;
             }
-            let past: Vec<PastAttempt> = live
+            let mut past: Vec<PastAttempt> = live
                 .attempts
                 .iter()
                 .map(|a| PastAttempt {
@@ -152,7 +170,10 @@
                     may_have_run: !a.never_ran,
                 })
                 .collect();
-            // Numbers may have a gap where one could not be written down; the module counts on from these.
+            // Numbers have a gap where an attempt could not be written down, and so was not made. The module counts
+            // on from how many there are, and no number may be given twice.
+            let gap = PastAttempt { endpoint: None, sent: now, may_have_run: false };
+            past.resize(past.len().max(live.next_number() as usize), gap);
             let attempts = past.len() as u32;
             let Some(class) = position(&self.around.classes, &taken.class) else {
                 // The settings no longer have its class, so the module can't be asked.
@@ -172,13 +193,16 @@
             tracing::info!(messages = self.held.len(), notices = lost.len(), "resumed from the journal");
         }
         let mut records = Vec::new();
+        let mut effects = Effects::default();
         for (id, taken, ending, decide) in lost {
             if decide {
                 records.push(Record::Decided(id, ending));
             }
-            self.notify(&taken, ending);
+            effects.notices.push(self.notice(&taken, ending));
         }
-        self.write(&records);
+        // Should it fail, the next process finds the message with its time up, and comes to the same end.
+        self.write_owed(&records);
+        self.once_kept(effects);
         self.round(Vec::new(), events);
     }
 
@@ -222,7 +246,7 @@
     }
 
     fn finished(&self) -> bool {
-        let calm = self.calls.is_empty() && self.noticing.is_empty();
+        let calm = self.calls.is_empty() && self.noticing.is_empty() && self.waiting.is_empty();
         self.wind.is_some() && calm && (self.held.is_empty() || self.winding())
     }
 
@@ -280,7 +304,7 @@
         let at = Instant::now();
         let (now, wall) = (self.clock(at), wall_ms());
         let mut records = Vec::new();
-        let mut round = Round { at, events, offered: BTreeMap::new(), claimed: 0 };
+        let mut round = Round { at, events, offered: BTreeMap::new(), claim: Claim::default() };
         for input in inputs {
             match input {
                 Input::Offer { taken, end, reply } => self.offer(taken, end, reply, &mut round),
@@ -305,6 +329,10 @@
                         records.push(Record::Ended(id));
                     }
                 }
+                Input::Synced(synced) => {
+                    self.journal.synced(synced, wall);
+                    self.carry_out_kept();
+                }
                 Input::Wind(until) => self.wind = Some(until),
             }
         }
@@ -366,50 +394,109 @@
             self.forget(o.taken.id);
             o.answer(reply);
         }
+        let mut effects = Effects::default();
         for &(id, ending) in &endings {
             if let Some(held) = self.forget(id) {
                 records.push(Record::Decided(id, ending));
-                self.notify(&held.taken, ending);
+                effects.notices.push(self.notice(&held.taken, ending));
             }
         }
-        let mut all: Vec<Record> = offered.values().map(|o| Record::Taken(o.taken.clone())).collect();
-        all.append(&mut records);
-        let settled = all.len() - offered.len();
-        all.append(&mut begun);
-        if !self.write(&all) {
-            // Without its record nothing new is begun or taken on; what ended is tried by itself.
-            let ended = all.split_off(offered.len());
-            self.write(&ended[..settled]);
-            for (id, o) in offered {
-                self.forget(id);
-                self.next.push(Event::Expired { id });
-                o.answer(Reply::Refused(Some(Duration::from_secs(1))));
+        for (endpoint, members) in calls {
+            let cancel = Rc::new(Cancel::default());
+            for m in &members {
+                self.calls.insert((m.taken.id, m.attempt), (endpoint, cancel.clone()));
             }
-            for (endpoint, members) in calls {
-                for m in members {
-                    let end = calls::end(&m, endpoint, Outcome::NotSent, Instant::now());
+            effects.calls.push((endpoint, members, cancel));
+        }
+        let mut all: Vec<Record> = offered.values().map(|o| Record::Taken(o.taken.clone())).collect();
+        all.extend(records.iter().chain(&begun).cloned());
+        if self.write(&all) {
+            effects.taken_on = offered;
+        } else {
+            self.go_on_without(offered, records, begun, &mut effects);
+        }
+        self.once_kept(effects);
+        self.sync();
+    }
+
+    /// The round could not be written down: nothing is taken on. What is held goes on if the journal has room held
+    /// back for it; else nothing new is begun, since without its record it could run twice, and what ended is tried
+    /// by itself.
+    fn go_on_without(
+        &mut self,
+        offered: BTreeMap<u64, Offered>,
+        mut records: Vec<Record>,
+        begun: Vec<Record>,
+        effects: &mut Effects,
+    ) {
+        let settled = records.len();
+        let is_new = |id: &u64| offered.contains_key(id);
+        records.extend(begun.into_iter().filter(|r| !matches!(r, Record::Begun(id, _) if is_new(id))));
+        let kept = self.write_owed(&records);
+        if !kept {
+            records.truncate(settled);
+            self.write_owed(&records);
+        }
+        let now = Instant::now();
+        effects.calls.retain_mut(|(endpoint, members, _)| {
+            members.retain(|m| {
+                let goes = kept && !is_new(&m.taken.id);
+                if !goes {
+                    self.calls.remove(&(m.taken.id, m.attempt));
+                    let end = calls::end(m, *endpoint, Outcome::NotSent, now);
                     self.next.push(Event::AttemptEnd(end));
                 }
-            }
-            return;
-        }
+                goes
+            });
+            !members.is_empty()
+        });
         for (id, o) in offered {
+            self.forget(id);
+            self.next.push(Event::Expired { id });
+            o.answer(Reply::Refused(Some(FULL)));
+        }
+    }
+
+    /// Does what a round has decided, now or when the journal has it for good.
+    fn once_kept(&mut self, effects: Effects) {
+        let mark = self.journal.last();
+        self.waiting.push_back((mark, effects));
+        self.carry_out_kept();
+    }
+
+    fn carry_out_kept(&mut self) {
+        let kept = self.journal.kept();
+        while let Some((_, effects)) = self.waiting.pop_front_if(|(mark, _)| *mark <= kept) {
+            self.carry_out(effects);
+        }
+    }
+
+    fn carry_out(&mut self, effects: Effects) {
+        for (id, o) in effects.taken_on {
             if !o.answer(Reply::TakenOn) {
                 // The client has left without its answer: it may hand the message in again elsewhere.
                 self.next.push(Event::Expired { id });
                 self.forget(id);
-                self.write(&[Record::Ended(id)]);
+                self.write_owed(&[Record::Ended(id)]);
             }
         }
-        for (endpoint, members) in calls {
-            let cancel = Rc::new(Cancel::default());
-            for m in &members {
-                self.calls.insert((m.taken.id, m.attempt), (endpoint, cancel.clone()));
-            }
+        for notice in effects.notices {
+            let _ = self.notices.send(notice);
+        }
+        for (endpoint, members, cancel) in effects.calls {
             tokio::task::spawn_local(self.client.clone().call(endpoint, members, cancel));
         }
     }
 
+    /// Has the next sync run, where rounds wait for one.
+    fn sync(&mut self) {
+        let Some(syncs) = &self.syncs else { return };
+        if let Some(sync) = self.journal.sync() {
+            // Its thread ends with this one.
+            let _ = syncs.send(sync);
+        }
+    }
+
     fn offer(&mut self, mut taken: Taken, end: Instant, reply: oneshot::Sender<Reply>, round: &mut Round) {
         if let Some(id) = self.traces.get(&taken.trace) {
             // The same message once more, while it is held: it is taken on already, or shares this round's fate.
@@ -419,7 +506,11 @@
                     _ = reply.send(Reply::Conflict)
                 }
                 Some(first) => first.replies.push(reply),
-                None => _ = reply.send(Reply::TakenOn),
+                // Or is not kept yet, and neither is its word.
+                None => match self.waiting.iter_mut().find_map(|(_, e)| e.taken_on.get_mut(id)) {
+                    Some(first) => first.replies.push(reply),
+                    None => _ = reply.send(Reply::TakenOn),
+                },
             }
             return;
         }
@@ -430,14 +521,14 @@
             return;
         }
         taken.id = self.next_id;
-        let room = self.journal.has_room(&taken, round.claimed);
-        let room = room.filter(|_| self.held.len() < self.settings.max_open && self.wind.is_none());
-        let (Some(claim), Some(class)) = (room, position(&self.around.classes, &taken.class)) else {
+        let class = position(&self.around.classes, &taken.class);
+        let class = class.filter(|_| self.held.len() < self.settings.max_open && self.wind.is_none());
+        let class = class.filter(|_| self.journal.claim(&taken, &mut round.claim, wall_ms()));
+        let Some(class) = class else {
             let after = Duration::from_nanos(self.sender.backoff(taken.dest).max(0) as u64);
             let _ = reply.send(Reply::Refused(Some(after)));
             return;
         };
-        round.claimed += claim;
         self.next_id += 1;
         let taken = Rc::new(taken);
         let left = end.saturating_duration_since(round.at).as_nanos() as Ns;
@@ -455,9 +546,10 @@
         Message { id, class, dest, left, cost: 0, key: None, tenant }
     }
 
-    fn notify(&mut self, taken: &Taken, ending: Ending) {
+    /// Its notice, which is owed until the platform has answered it.
+    fn notice(&mut self, taken: &Taken, ending: Ending) -> Notice {
         self.noticing.insert(taken.id);
-        let _ = self.notices.send(Notice { id: taken.id, trace: taken.trace.clone(), ending });
+        Notice { id: taken.id, trace: taken.trace.clone(), ending }
     }
 
     /// Books an attempt's end.
@@ -481,13 +573,27 @@
     }
 
     fn write(&mut self, records: &[Record]) -> bool {
-        let result = self.journal.write(records);
-        if let Err(error) = &result {
-            if !self.write_failed {
-                tracing::error!(%error, "cannot write the journal; nothing new is taken on");
+        let result = self.journal.append(records, wall_ms());
+        self.wrote(result)
+    }
+
+    /// For messages that are held, also where nothing new has room.
+    fn write_owed(&mut self, records: &[Record]) -> bool {
+        let result = self.journal.append_owed(records, wall_ms());
+        self.wrote(result)
+    }
+
+    fn wrote(&mut self, result: std::io::Result<Mark>) -> bool {
+        match &result {
+            Err(error) if !self.write_failed => {
+                tracing::error!(%error, "cannot write the journal; nothing new is taken on")
+            }
+            Ok(_) if self.write_failed && !self.journal.is_short() => {
+                tracing::info!("the journal is written again")
             }
+            _ => {}
         }
-        self.write_failed = result.is_err();
+        self.write_failed = result.is_err() || (self.write_failed && self.journal.is_short());
         result.is_ok()
     }
 }
--- a/crates/nickelshed/src/inbox.rs
+++ b/crates/nickelshed/src/inbox.rs
@@ -1,6 +1,6 @@
 //! What the parts of the sender say to its core, and what the core answers a client.
 use crate::list::List;
-use nickelshed_journal::Taken;
+use nickelshed_journal::{Synced, Taken};
 use nickelshed_policy::api::{AttemptEnd, EndpointId, Outcome, Report};
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -35,6 +35,8 @@
     },
     /// The platform has answered for these notices.
     Noticed(Vec<u64>),
+    /// How a sync of the journal has ended.
+    Synced(Synced),
     /// No client can come any more: end once nothing is left to do, and start nothing new after this time.
     Wind(Instant),
 }
--- /dev/null
+++ b/crates/nickelshed/src/lib.rs
@@ -0,0 +1,211 @@
+//! nickelshed: one real sender. Start, signals and wiring; the program itself is `main.rs`.
+mod calls;
+mod config;
+mod connections;
+mod core;
+mod discovery;
+mod inbox;
+mod list;
+mod notices;
+mod operator;
+mod server;
+mod wall;
+mod wire;
+
+pub use operator::{Durability, Operator};
+
+use crate::inbox::Input;
+use nickelshed_budget::Budget;
+use nickelshed_journal::{Handle, Journal, Options, Storage, Sync};
+use nickelshed_policy::api::Class;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::{mpsc, watch};
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::{sleep, timeout, Instant};
+
+/// After SIGTERM: how long new connections are still taken, when nothing new is begun any more, and when the
+/// process ends whatever is still out. What is left then is in the journal.
+const ACCEPT_ON: Duration = Duration::from_millis(500);
+const CLIENTS_GONE: Duration = Duration::from_millis(1_200);
+const BEGIN_ON: Duration = Duration::from_millis(2_600);
+const END: Duration = Duration::from_millis(3_300);
+/// Descriptors that neither clients nor calls use.
+const OWN_SOCKETS: usize = 24;
+/// How long a sync that failed is left before the next.
+const SYNC_AGAIN: Duration = Duration::from_millis(200);
+/// Inputs that wait for the core. Clients are told 503 beyond it.
+const INBOX: usize = 2_048;
+
+/// SIGHUP: the file of the configuration was replaced. A bad one is no reason to end, or to lose what works.
+async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
+    while hangup.recv().await.is_some() {
+        match config::reread() {
+            Ok(address) => {
+                tracing::info!(%address, "the configuration was read again");
+                discovery.send_if_modified(|old| std::mem::replace(old, address) != address);
+            }
+            Err(error) => tracing::error!(%error, "the old configuration is kept"),
+        }
+    }
+}
+
+/// Runs a sender until it is told to end, on a runtime of one thread.
+///
+/// # Errors
+/// Says what kept it from starting, or that it has failed.
+pub fn run<S: Storage + 'static>(
+    operator: &Operator,
+    storage: impl FnOnce(&Path) -> S,
+) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("cannot make a runtime: {e}"))?;
+    LocalSet::new().block_on(&runtime, serve(operator, storage))
+}
+
+/// Syncs, on a thread of their own, for as long as the core asks for them.
+fn sync_thread<F: Handle>(core: mpsc::Sender<Input>) -> Result<std::sync::mpsc::Sender<Sync<F>>, String> {
+    let (syncs, jobs) = std::sync::mpsc::channel::<Sync<F>>();
+    let (out, mut done) = mpsc::unbounded_channel();
+    spawn_local(async move {
+        while let Some(synced) = done.recv().await {
+            if core.send(Input::Synced(synced)).await.is_err() {
+                return;
+            }
+        }
+    });
+    let run = move || {
+        for sync in jobs {
+            let synced = sync.run();
+            if let Some(error) = synced.error() {
+                tracing::error!(%error, "cannot sync the journal; what waits for it is written once more");
+                std::thread::sleep(SYNC_AGAIN);
+            }
+            if out.send(synced).is_err() {
+                return;
+            }
+        }
+    };
+    std::thread::Builder::new()
+        .name("sync".into())
+        .spawn(run)
+        .map_err(|e| format!("cannot start a thread: {e}"))?;
+    Ok(syncs)
+}
+
+/// Opens the journal and says what was found.
+fn open_journal<S: Storage + 'static>(
+    config: &config::Config,
+    durability: Durability,
+    storage: S,
+    budget: &Budget,
+) -> Result<Journal<S>, String> {
+    let limits = &config.limits;
+    let options = Options {
+        disk: (limits.disk_mb * 1e6) as u64,
+        max_attempts: config.settings.max_attempts,
+        durability: durability.into(),
+    };
+    let folder = config.state.display();
+    let opened = Journal::open(storage, options, budget, wall::wall_ms());
+    let (journal, found) = opened.map_err(|e| format!("state folder {folder}: {e}"))?;
+    if let Some(torn) = &found.torn {
+        tracing::info!(
+            segment = torn.seq,
+            kept = torn.kept,
+            cut = torn.cut,
+            "the last write was cut off; it had been promised to nobody"
+        );
+    }
+    if let Some(first) = found.damage.first() {
+        let (places, doubted) = (found.damage.len(), found.doubted);
+        let aside = found.set_aside.join(", ");
+        tracing::error!(
+            segment = first.seq, from = first.from, to = first.to, places, doubted, aside,
+            "the journal is damaged; what can be read is kept, and messages whose attempts may be lost count as tried"
+        );
+    }
+    if found.imported > 0 {
+        tracing::info!(messages = found.imported, "taken over from the journal of the version before");
+    }
+    Ok(journal)
+}
+
+async fn serve<S: Storage + 'static>(
+    operator: &Operator,
+    storage: impl FnOnce(&Path) -> S,
+) -> Result<(), String> {
+    let mut config = config::read()?;
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("signals: {e}"))?;
+    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
+    let budget = Budget::new(config.limits.memory_mb);
+    let durability = operator.journal.durability;
+    let journal = open_journal(&config, durability, storage(&config.state), &budget)?;
+    let (core_in, inbox) = mpsc::channel(INBOX);
+    let syncs = match durability {
+        Durability::Process => None,
+        Durability::Machine => Some(sync_thread(core_in.clone())?),
+    };
+    let (notices_in, notices) = mpsc::unbounded_channel();
+    let settings = &config.settings;
+    // Some are for the listener, the watch, notices and files. Of the rest calls always find theirs, a sixteenth
+    // is for clients that are only told to come again, and all others are for clients: some connect by hundreds.
+    let sockets = config.limits.sockets.saturating_sub(OWN_SOCKETS);
+    let calls = (settings.slots * 2 + 32).max(sockets / 4).min(sockets * 3 / 8);
+    let turned_away = (sockets / 16).max(1);
+    let pool = Rc::new(connections::Pool::new(settings.dial_timeout, settings.idle_close, calls));
+    spawn_local(pool.clone().keep());
+    let client = Rc::new(calls::Client { core: core_in.clone(), pool });
+    let (place, discovery) = watch::channel(config.discovery);
+    spawn_local(reload(hangup, place));
+    spawn_local(discovery::follow(discovery.clone(), core_in.clone()));
+    spawn_local(notices::run(discovery, notices, core_in.clone()));
+    let (listen, known) = (config.listen, std::mem::take(&mut config.known));
+    let around = config.around.clone();
+    let deadline = |c: &Class| Duration::from_nanos(c.deadline.max(0) as u64);
+    let class = |c: &Class| server::Class { effect: c.effect, deadline: deadline(c) };
+    let classes = settings.classes.iter().map(class).collect();
+    let mut core = core::Core::new(config, journal, syncs, client, inbox, notices_in);
+    core.resume(known).await;
+    let core = spawn_local(core.run());
+
+    // Only now: a sender is used once it answers, and what the journal holds comes first.
+    let listener = TcpListener::bind(listen).await.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
+    let (close, closing) = watch::channel(false);
+    let server = Rc::new(server::Server {
+        core: core_in.clone(),
+        around,
+        classes,
+        budget,
+        most: sockets.saturating_sub(calls + turned_away),
+        turned_away,
+        open: Default::default(),
+        guests: Default::default(),
+    });
+    let accepting = spawn_local(server.clone().accept(listener, closing));
+
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        // It only ends by itself when it has failed; a new process takes up the journal.
+        ended = core => return Err(format!("the core ended: {ended:?}")),
+    }
+    let told = Instant::now();
+    sleep(ACCEPT_ON).await;
+    let _ = close.send(true);
+    let _ = accepting.await;
+    let gone = async {
+        while server.open.get() > 0 {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let _ = timeout(CLIENTS_GONE - ACCEPT_ON, gone).await;
+    let _ = core_in.send(Input::Wind(told + BEGIN_ON)).await;
+    let _ = timeout((told + END).saturating_duration_since(Instant::now()), core_in.closed()).await;
+    Ok(())
+}
--- a/crates/nickelshed/src/server.rs
+++ b/crates/nickelshed/src/server.rs
@@ -235,7 +235,7 @@
         let Some(share) = self.budget.claim(length as usize) else { return closing(refused(None)) };
         taken.share = Some(share);
         let end = Instant::now() + left;
-        taken.end = nickelshed_journal::wall_ms() + left.as_millis() as i64;
+        taken.end = crate::wall::wall_ms() + left.as_millis() as i64;
         taken.body = match timeout_at(by, Limited::new(body, MAX_BODY).collect()).await {
             // Copied: the library's own buffer, of which this is a part, is far larger than most messages.
             Ok(Ok(body)) => Bytes::copy_from_slice(&body.to_bytes()),
--- a/crates/nickelshed/tests/sender.rs
+++ b/crates/nickelshed/tests/sender.rs
@@ -369,10 +369,9 @@
         assert_eq!(node.hand_in("order", id, 7, 16_000, &[7; 300]), 202);
     }
     node.kill();
-    let path = node.state().join("journal");
+    let path = node.segments().pop().unwrap();
     let bytes = std::fs::read(&path).unwrap();
     std::fs::write(&path, &bytes[..bytes.len() - 5]).unwrap();
-    std::fs::write(node.state().join("journal.new"), b"a rewrite that was cut short").unwrap();
     discovery.set(json!([ready("e-1", endpoint.address, 7)]));
     node.restart();
     endpoint.wait_for("whole", 1);
@@ -396,7 +395,9 @@
     let mut node = Node::start(PROGRAM, &discovery);
     node.kill();
     let noise: Vec<u8> = (0..5_000u32).map(|i| (i.wrapping_mul(2_654_435_761) >> 13) as u8).collect();
-    std::fs::write(node.state().join("journal"), noise).unwrap();
+    for name in ["journal", "segment-0000000000000001", "segment-0000000000000007"] {
+        std::fs::write(node.state().join(name), &noise).unwrap();
+    }
     node.restart();
     assert_eq!(node.hand_in("order", "m", 7, 16_000, b"x"), 202);
 }
