--- a/crates/nickelshed-journal/benches/before.rs
+++ b/crates/nickelshed-journal/benches/before.rs
@@ -1,3 +1,5 @@
+//! The journal as it was before it had a version, for the comparison only.
+//!
 //! What the sender has taken on, kept in `$EDGE_STATE` so that it outlasts the process.
 //!
 //! One file of records, each framed by its length and a checksum. It is rewritten with what still lives once
@@ -103,6 +105,7 @@
     live: BTreeMap<u64, Live>,
 }
 
+#[allow(dead_code)]
 /// Bodies hold at most so much.
 pub const MAX_BODY: usize = 64 << 10;
 const FRAME: usize = 8;
--- a/crates/nickelshed-journal/src/format.rs
+++ b/crates/nickelshed-journal/src/format.rs
@@ -212,6 +212,7 @@
     dest: u64,
     trace: &'a str,
     key: Option<&'a str>,
+    since: i64,
     end: i64,
     #[serde(borrow, with = "serde_bytes")]
     body: &'a [u8],
@@ -247,6 +248,7 @@
         dest: taken.dest,
         trace: &taken.trace,
         key: taken.key.as_deref(),
+        since: taken.since,
         end: taken.end,
         body: &taken.body,
     }
@@ -285,6 +287,7 @@
         dest: head.dest,
         trace: head.trace.to_string(),
         key: head.key.map(str::to_string),
+        since: head.since,
         end: head.end,
         body: Bytes::copy_from_slice(head.body),
         share: None,
@@ -321,7 +324,7 @@
     /// The record that takes a message on.
     pub fn taken(t: &Taken) -> u64 {
         let texts = t.class.len() + t.tenant.len() + t.trace.len() + t.key.as_ref().map_or(0, String::len);
-        (texts + t.body.len()) as u64 + 8 * NUMBER + TAG
+        (texts + t.body.len()) as u64 + 9 * NUMBER + TAG
     }
 
     /// An attempt inside the record of a whole message.
--- a/crates/nickelshed-journal/src/legacy.rs
+++ b/crates/nickelshed-journal/src/legacy.rs
@@ -73,6 +73,7 @@
             dest: t.d,
             trace: t.m,
             key: t.k,
+            since: 0,
             end: t.t,
             body: Bytes::copy_from_slice(body),
             share: None,
--- a/crates/nickelshed-journal/src/lib.rs
+++ b/crates/nickelshed-journal/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod recover;
 mod storage;
 mod table;
+mod view;
 
 pub use format::VERSION;
 pub use journal::{
@@ -24,3 +25,4 @@
 pub use record::{Begun, Ending, Live, Record, Taken, MAX_BODY, MAX_NAME};
 pub use storage::{Folder, Handle, Storage};
 pub use table::Table;
+pub use view::{look, LookError, State, View};
--- a/crates/nickelshed-journal/src/record.rs
+++ b/crates/nickelshed-journal/src/record.rs
@@ -19,6 +19,8 @@
     pub dest: u64,
     pub trace: String,
     pub key: Option<String>,
+    /// When it was taken on, Unix time in milliseconds; 0 where the version before had not written it down.
+    pub since: i64,
     /// Deadline, Unix time in milliseconds.
     pub end: i64,
     pub body: Bytes,
@@ -85,3 +87,13 @@
 
 /// The number of an attempt that is only supposed.
 pub(crate) const UNKNOWN: u32 = u32::MAX;
+
+impl Ending {
+    /// As the platform calls it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Ending::GivenUp => "given_up",
+            Ending::HandedBack(_) => "handed_back",
+        }
+    }
+}
--- a/crates/nickelshed-journal/tests/common/mod.rs
+++ b/crates/nickelshed-journal/tests/common/mod.rs
@@ -30,6 +30,7 @@
         dest: id % 5,
         trace: format!("trace-{id}"),
         key: Some(format!("key-{id}")),
+        since: 1_000,
         end: 10_000 + (id % 1_000) as i64,
         body: Bytes::from(vec![id as u8; body]),
         share: None,
--- a/crates/nickelshed-testkit/src/node.rs
+++ b/crates/nickelshed-testkit/src/node.rs
@@ -11,6 +11,19 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+/// A message as a client hands it in.
+fn offer(class: &str, id: &str, dest: u64, expires_ms: u64, body: &[u8]) -> Vec<u8> {
+    let mut bytes = format!(
+        "POST /{class} HTTP/1.1\r\nHost: api.internal\r\nX-Trace-Id: {id}\r\nX-Qos: {class}\r\n\
+             X-Customer: acme\r\nX-Expires-In-Ms: {expires_ms}\r\nX-Consignee: dest={dest}\r\n\
+             Idempotency-Key: key-{id}\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    )
+    .into_bytes();
+    bytes.extend_from_slice(body);
+    bytes
+}
+
 static FOLDERS: AtomicUsize = AtomicUsize::new(0);
 
 /// A folder for tests beside the build's own, so that it lies on a disk and goes with `cargo clean`.
@@ -27,6 +40,10 @@
     discovery: SocketAddr,
     child: Option<Child>,
     pub config: Value,
+    environment: Vec<(String, String)>,
+    arguments: Vec<String>,
+    /// Bytes of the log that are no longer looked at.
+    old_log: usize,
 }
 
 impl Node {
@@ -58,8 +75,17 @@
                 "Services": [class("alert", "keyed"), class("order", "unsafe")]}});
         change(&mut config);
         let program = PathBuf::from(program);
-        let mut node =
-            Node { program, folder, address, discovery: discovery.peer.address, child: None, config };
+        let mut node = Node {
+            program,
+            folder,
+            address,
+            discovery: discovery.peer.address,
+            child: None,
+            config,
+            environment: Vec::new(),
+            arguments: Vec::new(),
+            old_log: 0,
+        };
         node.restart();
         node
     }
@@ -98,22 +124,45 @@
         assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
     }
 
+    fn command(&self) -> Command {
+        let mut command = Command::new(&self.program);
+        command
+            .env("EDGE_NAME", "n0")
+            .env("EDGE_LISTEN", self.address.to_string())
+            .env("EDGE_DISCOVERY", self.discovery.to_string())
+            .env("EDGE_STATE", self.state())
+            .env("EDGE_CONFIG", self.config_path())
+            .envs(self.environment.iter().map(|(name, value)| (name, value)))
+            .args(&self.arguments)
+            .stdin(Stdio::null());
+        command
+    }
+
+    /// For the starts from now on.
+    pub fn environment(&mut self, name: &str, value: &str) {
+        self.environment.retain(|(n, _)| n != name);
+        self.environment.push((name.to_string(), value.to_string()));
+    }
+
+    /// For the starts from now on.
+    pub fn arguments(&mut self, arguments: &[&str]) {
+        self.arguments = arguments.iter().map(|a| a.to_string()).collect();
+    }
+
+    /// Starts another process on the same folder and waits for its end: whether it ended well, and what it logged.
+    pub fn start_second(&self) -> (bool, String) {
+        let output = self.command().env("EDGE_LISTEN", "127.0.0.1:0").stderr(Stdio::piped()).output();
+        let output = output.expect("a second process starts");
+        (output.status.success(), String::from_utf8_lossy(&output.stderr).into_owned())
+    }
+
     pub fn restart(&mut self) {
         assert!(self.child.is_none(), "still running");
         let config = self.config_path();
         std::fs::write(&config, self.config.to_string()).unwrap();
         let log =
             std::fs::OpenOptions::new().create(true).append(true).open(self.folder.join("log")).unwrap();
-        let child = Command::new(&self.program)
-            .env("EDGE_NAME", "n0")
-            .env("EDGE_LISTEN", self.address.to_string())
-            .env("EDGE_DISCOVERY", self.discovery.to_string())
-            .env("EDGE_STATE", self.state())
-            .env("EDGE_CONFIG", config)
-            .stdin(Stdio::null())
-            .stderr(log)
-            .spawn()
-            .expect("the sender starts");
+        let child = self.command().stderr(log).spawn().expect("the sender starts");
         self.child = Some(child);
         let until = Instant::now() + BOUND;
         loop {
@@ -127,7 +176,22 @@
     }
 
     pub fn log(&self) -> String {
-        std::fs::read_to_string(self.folder.join("log")).unwrap_or_default()
+        let log = std::fs::read_to_string(self.folder.join("log")).unwrap_or_default();
+        log.get(self.old_log..).unwrap_or_default().to_string()
+    }
+
+    /// Leaves out of the log what is there now.
+    pub fn forget_log(&mut self) {
+        self.old_log += self.log().len();
+    }
+
+    /// None where the answer does not come, as from a process that is killed; it is not waited for long.
+    pub fn try_hand_in(&self, class: &str, id: &str, dest: u64, expires_ms: u64, body: &[u8]) -> Option<u16> {
+        let mut stream = TcpStream::connect(self.address).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
+        stream.write_all(&offer(class, id, dest, expires_ms, body)).ok()?;
+        let answer = read_message(&mut BufReader::new(stream), 0)?;
+        answer.first.split(' ').nth(1)?.parse().ok()
     }
 
     /// Sends bytes on a new connection and reads one answer.
@@ -150,14 +214,7 @@
         expires_ms: u64,
         body: &[u8],
     ) -> (u16, HashMap<String, String>) {
-        let mut bytes = format!(
-            "POST /{class} HTTP/1.1\r\nHost: api.internal\r\nX-Trace-Id: {id}\r\nX-Qos: {class}\r\n\
-             X-Customer: acme\r\nX-Expires-In-Ms: {expires_ms}\r\nX-Consignee: dest={dest}\r\n\
-             Idempotency-Key: key-{id}\r\nContent-Length: {}\r\n\r\n",
-            body.len()
-        )
-        .into_bytes();
-        bytes.extend_from_slice(body);
+        let bytes = offer(class, id, dest, expires_ms, body);
         let answer = self.ask(&bytes).unwrap_or_else(|| panic!("no answer for {id}: {}", self.log()));
         (answer.first.split(' ').nth(1).unwrap().parse().unwrap(), answer.headers)
     }
--- a/crates/nickelshed/src/server.rs
+++ b/crates/nickelshed/src/server.rs
@@ -235,7 +235,8 @@
         let Some(share) = self.budget.claim(length as usize) else { return closing(refused(None)) };
         taken.share = Some(share);
         let end = Instant::now() + left;
-        taken.end = crate::wall::wall_ms() + left.as_millis() as i64;
+        taken.since = crate::wall::wall_ms();
+        taken.end = taken.since + left.as_millis() as i64;
         taken.body = match timeout_at(by, Limited::new(body, MAX_BODY).collect()).await {
             // Copied: the library's own buffer, of which this is a part, is far larger than most messages.
             Ok(Ok(body)) => Bytes::copy_from_slice(&body.to_bytes()),
@@ -295,7 +296,18 @@
             return Err("Idempotency-Key is missing");
         }
         let (class, tenant, trace) = (name.clone(), tenant.to_string(), trace.to_string());
-        let taken = Taken { id: 0, class, tenant, dest, trace, key, end: 0, body: Bytes::new(), share: None };
+        let taken = Taken {
+            id: 0,
+            class,
+            tenant,
+            dest,
+            trace,
+            key,
+            since: 0,
+            end: 0,
+            body: Bytes::new(),
+            share: None,
+        };
         Ok((taken, left))
     }
 }
--- a/crates/nickelshed/tests/sender.rs
+++ b/crates/nickelshed/tests/sender.rs
@@ -360,6 +360,50 @@
     assert!(discovery.notices().iter().all(|n| n["message"] == "n"));
 }
 
+/// With durability `machine` everything that a round decided waits for a sync, and then happens as ever.
+#[test]
+fn with_durability_machine_messages_are_taken_on_delivered_and_held_over_a_kill() {
+    let endpoint = Peer::new(|_| ok());
+    let discovery = Discovery::new(json!([ready("e-1", endpoint.address, 7), closed(9)]));
+    let mut node = Node::start(PROGRAM, &discovery);
+    let file = node.folder.join("operator.toml");
+    std::fs::write(&file, "[journal]\ndurability = \"machine\"\n").unwrap();
+    node.arguments(&["--operator", file.to_str().unwrap()]);
+    node.kill();
+    node.restart();
+    for i in 0..20 {
+        assert_eq!(node.hand_in("order", &format!("m{i}"), 7, 16_000, b"x"), 202);
+        assert_eq!(node.hand_in("order", &format!("held{i}"), 9, 16_000, b"y"), 202);
+    }
+    (0..20).for_each(|i| _ = endpoint.wait_for(&format!("m{i}"), 1));
+    settle(&node, &endpoint);
+    node.kill();
+    discovery.set(json!([ready("e-1", endpoint.address, 7), ready("e-2", endpoint.address, 9)]));
+    node.restart();
+    for i in 0..20 {
+        assert_eq!(endpoint.wait_for(&format!("held{i}"), 1)[0].body, b"y");
+    }
+    assert_eq!(node.hand_in("order", "short", 7, 600, b"x"), 202);
+    endpoint.wait_for("short", 1);
+    let seen = endpoint.seen();
+    assert!((0..20).all(|i| seen.iter().filter(|r| r.id() == format!("m{i}")).count() == 1));
+    assert!(discovery.notices().is_empty(), "{:?}", discovery.notices());
+    node.terminate();
+    assert!(node.wait_exit().success(), "{}", node.log());
+}
+
+#[test]
+fn a_misspelt_key_in_the_operators_file_stops_the_start_and_is_named() {
+    let discovery = Discovery::new(json!([]));
+    let mut node = Node::start(PROGRAM, &discovery);
+    let file = node.folder.join("operator.toml");
+    std::fs::write(&file, "[journal]\ndurabilty = \"machine\"\n").unwrap();
+    node.kill();
+    node.arguments(&["--operator", file.to_str().unwrap()]);
+    let (success, log) = node.start_second();
+    assert!(!success && log.contains("durabilty") && log.contains("durability"), "{log}");
+}
+
 #[test]
 fn a_torn_tail_is_cut_and_what_is_before_it_lives() {
     let endpoint = Peer::new(|_| ok());
