--- a/crates/nickelshed-crashtest/src/main.rs
+++ b/crates/nickelshed-crashtest/src/main.rs
@@ -127,6 +127,10 @@
         }
     }
 
+    fn reserve(&self, file: &Self::File, length: u64) -> io::Result<()> {
+        self.folder.reserve(file, length)
+    }
+
     fn truncate(&self, file: &Self::File, length: u64) -> io::Result<()> {
         self.run("truncate", || self.folder.truncate(file, length))
     }
--- a/crates/nickelshed-journal/src/journal.rs
+++ b/crates/nickelshed-journal/src/journal.rs
@@ -210,12 +210,14 @@
         let attempts = self.max_attempts();
         let each = bound::to_come(attempts) + bound::growth(attempts);
         let longest = self.segments.iter().map(|s| s.length).max().unwrap_or(0);
+        // Room that is taken beforehand: of the segment that is written to, and of one that a copy may begin.
+        let reserved = if self.options.durability == Durability::Machine { 2 * self.target() } else { 0 };
         Room {
             total: self.total(),
             log: self.log(),
             live: self.table.bytes(),
             owed: each * self.table.live().len() as u64,
-            spare: self.target().max(longest) + 4 * BLOCK,
+            spare: self.target().max(longest) + reserved + 4 * BLOCK,
         }
     }
 
@@ -272,10 +274,10 @@
         self.stats.appended += length;
         let round = self.round;
         let step = if self.rewrite.is_some() { STEP } else { self.room().step(length) };
-        if step > 0 {
+        if step > 0 || self.oldest_is_dead() {
             let rewrite = self.rewrite;
             // What could not be copied stays where it is.
-            let _ = self.copy(step, now, |room| rewrite.is_some() || room.pays());
+            let _ = self.copy(step, now, |room| rewrite.is_some() || step == 0 || room.pays());
         }
         let _ = self.clean();
         Ok(round)
@@ -329,6 +331,21 @@
         self.ballast
     }
 
+    /// Whether nothing needs the oldest segment any more. Its messages are forgotten as they are met dead, so that this
+    /// costs little.
+    fn oldest_is_dead(&mut self) -> bool {
+        let table = &self.table;
+        match self.segments.front_mut() {
+            Some(s) if s.seq + 1 < self.next_seq && s.emptied.is_none() => {
+                let seq = s.seq;
+                let dead = |id: &u64| table.live().get(id).is_none_or(|l| l.base != seq);
+                while s.ids.pop_front_if(|id| dead(id)).is_some() {}
+                s.ids.is_empty()
+            }
+            _ => false,
+        }
+    }
+
     fn note_base(&mut self, id: u64) {
         if let Some(last) = self.segments.back_mut() {
             last.ids.push_back(id);
@@ -343,10 +360,11 @@
         if self.roll || self.segments.back().is_none_or(full) {
             self.roll()?;
         }
-        if self.disk() + blocks(length) > self.limit() {
+        let (disk, limit) = (self.disk(), self.limit());
+        let Some(last) = self.segments.back_mut() else { return Err(io::ErrorKind::NotFound.into()) };
+        if disk - blocks(last.length) + blocks(last.length.max(last.good + length)) > limit {
             return Err(io::Error::new(io::ErrorKind::StorageFull, "the journal's part of the disk is full"));
         }
-        let Some(last) = self.segments.back_mut() else { return Err(io::ErrorKind::NotFound.into()) };
         let place = Place { nonce: self.nonce, seq: last.seq, offset: last.good };
         let bytes = self.frames.seal(now, place);
         let end = last.good + length;
@@ -381,13 +399,20 @@
         let machine = self.options.durability == Durability::Machine;
         let first = self.segments.is_empty();
         let header = Header { nonce: self.nonce, seq, prev, first, machine }.encode();
-        if let Err(e) = self.storage.write_all_at(&file, &header, 0) {
+        // Where each round waits for a sync, the file's growth would cost it as much as its bytes.
+        let reserved = if machine { self.target() } else { 0 };
+        let reserved = if self.disk() + reserved > self.limit() { 0 } else { reserved };
+        let written = match reserved {
+            0 => Ok(()),
+            length => self.storage.reserve(&file, length),
+        };
+        if let Err(e) = written.and_then(|()| self.storage.write_all_at(&file, &header, 0)) {
             let _ = self.storage.remove(&name);
             return Err(e);
         }
-        let length = HEADER as u64;
+        let (good, length) = (HEADER as u64, reserved.max(HEADER as u64));
         let ids = VecDeque::new();
-        self.segments.push_back(Segment { seq, file, good: length, length, ids, emptied: None, dirty: true });
+        self.segments.push_back(Segment { seq, file, good, length, ids, emptied: None, dirty: true });
         (self.next_seq, self.roll, self.folder_dirty) = (seq + 1, false, true);
         Ok(())
     }
--- a/crates/nickelshed-journal/src/recover.rs
+++ b/crates/nickelshed-journal/src/recover.rs
@@ -187,6 +187,11 @@
                 continue;
             }
             let rest = &bytes[at..];
+            // Room that was taken beforehand.
+            if matches!(end, End::Open { .. }) && rest.iter().all(|b| *b == 0) {
+                segment.good = at as u64;
+                break;
+            }
             // Nothing follows, so a write that was cut off, unless it is all there and spoilt. A process that is
             // killed leaves a part of its last write; a machine that is lost may leave anything of it.
             let torn = match end {
--- a/crates/nickelshed-journal/src/storage.rs
+++ b/crates/nickelshed-journal/src/storage.rs
@@ -30,6 +30,9 @@
     /// Makes a file that must not be there yet.
     fn create(&self, name: &str) -> io::Result<Self::File>;
     fn open(&self, name: &str) -> io::Result<Self::File>;
+    /// Takes so many bytes of the disk for the file beforehand, so that a sync need not note its growth. They read as
+    /// zeros. Where the file system can't, nothing is done.
+    fn reserve(&self, file: &Self::File, length: u64) -> io::Result<()>;
     /// May write less than all of it.
     fn write_at(&self, file: &Self::File, bytes: &[u8], offset: u64) -> io::Result<usize>;
     fn truncate(&self, file: &Self::File, length: u64) -> io::Result<()>;
@@ -101,8 +104,10 @@
     }
 
     fn read(&self, name: &str, most: u64) -> io::Result<Vec<u8>> {
-        let mut bytes = Vec::new();
-        io::Read::read_to_end(&mut io::Read::take(File::open(self.path.join(name))?, most), &mut bytes)?;
+        let file = File::open(self.path.join(name))?;
+        let length = file.metadata()?.len().min(most);
+        let mut bytes = Vec::with_capacity(length as usize);
+        io::Read::read_to_end(&mut io::Read::take(file, length), &mut bytes)?;
         Ok(bytes)
     }
 
@@ -114,6 +119,14 @@
         Ok(Arc::new(OpenOptions::new().write(true).open(self.path.join(name))?))
     }
 
+    fn reserve(&self, file: &Arc<File>, length: u64) -> io::Result<()> {
+        use rustix::fs::{fallocate, FallocateFlags};
+        match fallocate(&**file, FallocateFlags::empty(), 0, length) {
+            Err(rustix::io::Errno::OPNOTSUPP | rustix::io::Errno::NOSYS) => Ok(()),
+            other => Ok(other?),
+        }
+    }
+
     fn write_at(&self, file: &Arc<File>, bytes: &[u8], offset: u64) -> io::Result<usize> {
         FileExt::write_at(&**file, bytes, offset)
     }
--- a/crates/nickelshed-testkit/src/disk.rs
+++ b/crates/nickelshed-testkit/src/disk.rs
@@ -349,6 +349,19 @@
         error.map_or(Ok(length), Err)
     }
 
+    fn reserve(&self, file: &File, length: u64) -> io::Result<()> {
+        let mut state = self.state();
+        state.whole("reserve", true)?;
+        let inode = file.inode.ok_or(io::ErrorKind::IsADirectory)?;
+        if length > state.capacity.saturating_sub(state.used()) {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        let change = Change::Length(length);
+        apply(&mut state.inodes[inode].seen, &change);
+        state.inodes[inode].pending.push(change);
+        Ok(())
+    }
+
     fn truncate(&self, file: &File, length: u64) -> io::Result<()> {
         let mut state = self.state();
         state.whole("truncate", true)?;
