--- a/crates/nickelshed-journal/src/journal.rs
+++ b/crates/nickelshed-journal/src/journal.rs
@@ -55,7 +55,8 @@
 
 struct Segment<F> {
     seq: u64,
-    file: F,
+    /// Open while it is written to or waits for a sync: descriptors are for connections.
+    file: Option<F>,
     /// Bytes that hold good.
     good: u64,
     /// Bytes that it may take on the disk.
@@ -68,8 +69,7 @@
 }
 
 /// An emptied segment that the next one may be written over.
-struct Spare<F> {
-    file: F,
+struct Spare {
     length: u64,
     renamed: Renamed,
 }
@@ -137,7 +137,7 @@
     rewrite: Option<u64>,
     /// Damaged segments that are kept under another name.
     aside: Vec<u64>,
-    spare: Option<Spare<S::File>>,
+    spare: Option<Spare>,
     stats: Stats,
 }
 
@@ -379,7 +379,8 @@
             self.roll()?;
         }
         let (disk, limit) = (self.disk(), self.limit());
-        let Some(last) = self.segments.back_mut() else { return Err(io::ErrorKind::NotFound.into()) };
+        let last = self.segments.back_mut().and_then(|last| Some((last.file.clone()?, last)));
+        let Some((file, last)) = last else { return Err(io::ErrorKind::NotFound.into()) };
         if disk - blocks(last.length) + blocks(last.length.max(last.good + length)) > limit {
             return Err(io::Error::new(io::ErrorKind::StorageFull, "the journal's part of the disk is full"));
         }
@@ -387,9 +388,9 @@
         let bytes = self.frames.seal(now, place);
         let end = last.good + length;
         last.dirty = true;
-        if let Err(e) = self.storage.write_all_at(&last.file, bytes, last.good) {
+        if let Err(e) = self.storage.write_all_at(&file, bytes, last.good) {
             // Else what was written of it could be taken for a round that holds.
-            if self.storage.truncate(&last.file, last.good).is_err() {
+            if self.storage.truncate(&file, last.good).is_err() {
                 last.length = last.length.max(end);
                 self.roll = true;
             }
@@ -410,7 +411,7 @@
             Some(spare) => {
                 self.storage.rename(SPARE, &name)?;
                 self.others -= blocks(spare.length);
-                (spare.file, spare.length)
+                (self.storage.open(&name)?, spare.length)
             }
             None => match self.storage.create(&name) {
                 // Left from a try that failed.
@@ -435,7 +436,18 @@
         }
         let (good, length) = (HEADER as u64, reserved.max(HEADER as u64));
         let ids = VecDeque::new();
-        self.segments.push_back(Segment { seq, file, good, length, ids, emptied: None, dirty: true });
+        if let Some(last) = self.segments.back_mut().filter(|_| !machine) {
+            last.file = None;
+        }
+        self.segments.push_back(Segment {
+            seq,
+            file: Some(file),
+            good,
+            length,
+            ids,
+            emptied: None,
+            dirty: true,
+        });
         (self.next_seq, self.roll, self.folder_dirty) = (seq + 1, false, true);
         Ok(())
     }
@@ -524,8 +536,7 @@
             } else if self.can_be_spare(front) {
                 self.storage.rename(&name, SPARE)?;
                 self.others += blocks(front.length);
-                self.spare =
-                    Some(Spare { file: front.file.clone(), length: front.length, renamed: Renamed::Now });
+                self.spare = Some(Spare { length: front.length, renamed: Renamed::Now });
             } else {
                 self.storage.remove(&name)?;
             }
@@ -565,9 +576,11 @@
         if let Some(spare) = self.spare.as_mut().filter(|s| s.renamed == Renamed::Now && folder.is_some()) {
             spare.renamed = Renamed::Syncing;
         }
-        let files =
-            self.segments.iter_mut().filter_map(|s| std::mem::take(&mut s.dirty).then(|| s.file.clone()));
-        let files = files.collect();
+        let mut files = Vec::new();
+        for segment in self.segments.iter_mut().filter(|s| s.dirty) {
+            segment.dirty = false;
+            files.extend(segment.file.clone());
+        }
         self.folder_dirty = false;
         self.syncing = true;
         Some(Sync { files, folder, upto: self.round })
@@ -602,6 +615,8 @@
             return Err(e);
         }
         self.on_disk = self.on_disk.max(synced.upto);
+        let last = self.next_seq - 1;
+        self.segments.iter_mut().filter(|s| !s.dirty && s.seq < last).for_each(|s| s.file = None);
         if let Some(spare) = self.spare.as_mut().filter(|s| s.renamed == Renamed::Syncing) {
             spare.renamed = Renamed::Kept;
         }
--- a/crates/nickelshed-journal/src/journal/open.rs
+++ b/crates/nickelshed-journal/src/journal/open.rs
@@ -130,7 +130,8 @@
         }
         for s in recovered.segments {
             let name = segment_name(s.seq);
-            let file = journal.storage.open(&name).map_err(failed(format!("cannot open {name}")))?;
+            let open = || journal.storage.open(&name).map_err(failed(format!("cannot open {name}")));
+            let file = (options.durability == Durability::Machine).then(open).transpose()?;
             let ids = by_segment.remove(&s.seq).unwrap_or_default();
             journal.segments.push_back(Segment {
                 seq: s.seq,
--- a/crates/nickelshed/src/core.rs
+++ b/crates/nickelshed/src/core.rs
@@ -1,10 +1,14 @@
 //! The one owner of the module: events in, one round of decisions, actions out. It decides nothing itself.
+mod effects;
+mod resume;
+
 use crate::calls::{self, Cancel, Client, Member};
 use crate::config::Config;
 use crate::inbox::{Input, Reply};
 use crate::list::List;
 use crate::notices::Notice;
 use crate::wall::wall_ms;
+use effects::Effects;
 use nickelshed_journal::{Begun, Claim, Ending, Journal, Record, Round as Mark, Storage, Sync, Taken};
 use nickelshed_policy::api::*;
 use nickelshed_policy::rules::Sender;
@@ -52,14 +56,6 @@
     claim: Claim,
 }
 
-/// What a round has decided and may do once its records are kept.
-#[derive(Default)]
-struct Effects {
-    taken_on: BTreeMap<u64, Offered>,
-    notices: Vec<Notice>,
-    calls: Vec<(EndpointId, Vec<Member>, Rc<Cancel>)>,
-}
-
 pub struct Core<S: Storage> {
     sender: Sender,
     settings: Settings,
@@ -97,9 +93,6 @@
 const ROUND: usize = 512;
 /// For so long after it was closed an endpoint is remembered, as long as the module does: new ones come all day.
 const FORGET: Duration = Duration::from_secs(60);
-/// When a client is to come again that could not be taken on for want of disk.
-const FULL: Duration = Duration::from_secs(1);
-const FIRST_LIST: Duration = Duration::from_millis(300);
 
 impl<S: Storage> Core<S> {
     pub fn new(
@@ -145,67 +138,6 @@
         self.start + Duration::from_nanos((at - CLOCK_START).max(0) as u64)
     }
 
-    /// Takes up what the journal holds. `known` may be old, so a fresh list is waited for, but not for long.
-    pub async fn resume(&mut self, known: List) {
-        let mut events = vec![self.list(known, true)];
-        let first = timeout(FIRST_LIST, self.inbox.recv()).await;
-        if let Ok(Some(Input::List(list))) = first {
-            let whole = list.reset;
-            events.push(self.list(list, whole));
-        }
-        let (now, wall) = (self.clock(Instant::now()), wall_ms());
-        let (mut lost, mut resumed) = (Vec::new(), Vec::new());
-        for (&id, live) in self.journal.live() {
-            let taken = live.taken.clone();
-            if let Some(ending) = live.ending {
-                lost.push((id, taken, ending, false));
-                continue;
-            }
-            let mut past: Vec<PastAttempt> = live
-                .attempts
-                .iter()
-                .map(|a| PastAttempt {
-                    endpoint: self.names.get(&a.endpoint).copied(),
-                    sent: now - (wall - a.at).max(0).saturating_mul(MS).min(CLOCK_START),
-                    may_have_run: !a.never_ran,
-                })
-                .collect();
-            // Numbers have a gap where an attempt could not be written down, and so was not made. The module counts
-            // on from how many there are, and no number may be given twice.
-            let gap = PastAttempt { endpoint: None, sent: now, may_have_run: false };
-            past.resize(past.len().max(live.next_number() as usize), gap);
-            let attempts = past.len() as u32;
-            let Some(class) = position(&self.around.classes, &taken.class) else {
-                // The settings no longer have its class, so the module can't be asked.
-                let ran = past.iter().any(|p| p.may_have_run);
-                let ending = if ran { Ending::GivenUp } else { Ending::HandedBack(None) };
-                lost.push((id, taken, ending, true));
-                continue;
-            };
-            let left = (taken.end - wall).saturating_mul(MS);
-            resumed.push((taken, class, left, attempts, past));
-        }
-        for (taken, class, left, attempts, past) in resumed {
-            let message = self.hold(taken, class, left, now + left, attempts);
-            events.push(Event::Resumed { message, past });
-        }
-        if !self.journal.live().is_empty() {
-            tracing::info!(messages = self.held.len(), notices = lost.len(), "resumed from the journal");
-        }
-        let mut records = Vec::new();
-        let mut effects = Effects::default();
-        for (id, taken, ending, decide) in lost {
-            if decide {
-                records.push(Record::Decided(id, ending));
-            }
-            effects.notices.push(self.notice(&taken, ending));
-        }
-        // Should it fail, the next process finds the message with its time up, and comes to the same end.
-        self.write_owed(&records);
-        self.once_kept(effects);
-        self.round(Vec::new(), events);
-    }
-
     pub async fn run(mut self) {
         let mut inputs = Vec::new();
         loop {
@@ -419,84 +351,6 @@
         self.sync();
     }
 
-    /// The round could not be written down: nothing is taken on. What is held goes on if the journal has room held
-    /// back for it; else nothing new is begun, since without its record it could run twice, and what ended is tried
-    /// by itself.
-    fn go_on_without(
-        &mut self,
-        offered: BTreeMap<u64, Offered>,
-        mut records: Vec<Record>,
-        begun: Vec<Record>,
-        effects: &mut Effects,
-    ) {
-        let settled = records.len();
-        let is_new = |id: &u64| offered.contains_key(id);
-        records.extend(begun.into_iter().filter(|r| !matches!(r, Record::Begun(id, _) if is_new(id))));
-        let kept = self.write_owed(&records);
-        if !kept {
-            records.truncate(settled);
-            self.write_owed(&records);
-        }
-        let now = Instant::now();
-        effects.calls.retain_mut(|(endpoint, members, _)| {
-            members.retain(|m| {
-                let goes = kept && !is_new(&m.taken.id);
-                if !goes {
-                    self.calls.remove(&(m.taken.id, m.attempt));
-                    let end = calls::end(m, *endpoint, Outcome::NotSent, now);
-                    self.next.push(Event::AttemptEnd(end));
-                }
-                goes
-            });
-            !members.is_empty()
-        });
-        for (id, o) in offered {
-            self.forget(id);
-            self.next.push(Event::Expired { id });
-            o.answer(Reply::Refused(Some(FULL)));
-        }
-    }
-
-    /// Does what a round has decided, now or when the journal has it for good.
-    fn once_kept(&mut self, effects: Effects) {
-        let mark = self.journal.last();
-        self.waiting.push_back((mark, effects));
-        self.carry_out_kept();
-    }
-
-    fn carry_out_kept(&mut self) {
-        let kept = self.journal.kept();
-        while let Some((_, effects)) = self.waiting.pop_front_if(|(mark, _)| *mark <= kept) {
-            self.carry_out(effects);
-        }
-    }
-
-    fn carry_out(&mut self, effects: Effects) {
-        for (id, o) in effects.taken_on {
-            if !o.answer(Reply::TakenOn) {
-                // The client has left without its answer: it may hand the message in again elsewhere.
-                self.next.push(Event::Expired { id });
-                self.forget(id);
-                self.write_owed(&[Record::Ended(id)]);
-            }
-        }
-        for notice in effects.notices {
-            let _ = self.notices.send(notice);
-        }
-        for (endpoint, members, cancel) in effects.calls {
-            tokio::task::spawn_local(self.client.clone().call(endpoint, members, cancel));
-        }
-    }
-
-    /// Has the next sync run, where rounds wait for one.
-    fn sync(&mut self) {
-        let Some(syncs) = &self.syncs else { return };
-        if let Some(sync) = self.journal.sync() {
-            // Its thread ends with this one.
-            let _ = syncs.send(sync);
-        }
-    }
-
     fn offer(&mut self, mut taken: Taken, end: Instant, reply: oneshot::Sender<Reply>, round: &mut Round) {
         if let Some(id) = self.traces.get(&taken.trace) {
             // The same message once more, while it is held: it is taken on already, or shares this round's fate.
@@ -571,31 +425,6 @@
         self.traces.remove(&held.taken.trace);
         Some(held)
     }
-
-    fn write(&mut self, records: &[Record]) -> bool {
-        let result = self.journal.append(records, wall_ms());
-        self.wrote(result)
-    }
-
-    /// For messages that are held, also where nothing new has room.
-    fn write_owed(&mut self, records: &[Record]) -> bool {
-        let result = self.journal.append_owed(records, wall_ms());
-        self.wrote(result)
-    }
-
-    fn wrote(&mut self, result: std::io::Result<Mark>) -> bool {
-        match &result {
-            Err(error) if !self.write_failed => {
-                tracing::error!(%error, "cannot write the journal; nothing new is taken on")
-            }
-            Ok(_) if self.write_failed && !self.journal.is_short() => {
-                tracing::info!("the journal is written again")
-            }
-            _ => {}
-        }
-        self.write_failed = result.is_err() || (self.write_failed && self.journal.is_short());
-        result.is_ok()
-    }
 }
 
 fn position(names: &[String], name: &str) -> Option<usize> {
--- /dev/null
+++ b/crates/nickelshed/src/core/effects.rs
@@ -0,0 +1,118 @@
+//! What a round has decided, written down and then done: at once, or when the journal has it for good.
+use super::*;
+
+/// When a client is to come again that could not be taken on for want of disk.
+const FULL: Duration = Duration::from_secs(1);
+
+/// What a round has decided and may do once its records are kept.
+#[derive(Default)]
+pub(super) struct Effects {
+    pub(super) taken_on: BTreeMap<u64, Offered>,
+    pub(super) notices: Vec<Notice>,
+    pub(super) calls: Vec<(EndpointId, Vec<Member>, Rc<Cancel>)>,
+}
+
+impl<S: Storage> Core<S> {
+    /// The round could not be written down: nothing is taken on. What is held goes on if the journal has room held
+    /// back for it; else nothing new is begun, since without its record it could run twice, and what ended is tried
+    /// by itself.
+    pub(super) fn go_on_without(
+        &mut self,
+        offered: BTreeMap<u64, Offered>,
+        mut records: Vec<Record>,
+        begun: Vec<Record>,
+        effects: &mut Effects,
+    ) {
+        let settled = records.len();
+        let is_new = |id: &u64| offered.contains_key(id);
+        records.extend(begun.into_iter().filter(|r| !matches!(r, Record::Begun(id, _) if is_new(id))));
+        let kept = self.write_owed(&records);
+        if !kept {
+            records.truncate(settled);
+            self.write_owed(&records);
+        }
+        let now = Instant::now();
+        effects.calls.retain_mut(|(endpoint, members, _)| {
+            members.retain(|m| {
+                let goes = kept && !is_new(&m.taken.id);
+                if !goes {
+                    self.calls.remove(&(m.taken.id, m.attempt));
+                    let end = calls::end(m, *endpoint, Outcome::NotSent, now);
+                    self.next.push(Event::AttemptEnd(end));
+                }
+                goes
+            });
+            !members.is_empty()
+        });
+        for (id, o) in offered {
+            self.forget(id);
+            self.next.push(Event::Expired { id });
+            o.answer(Reply::Refused(Some(FULL)));
+        }
+    }
+
+    /// Does what a round has decided, now or when the journal has it for good.
+    pub(super) fn once_kept(&mut self, effects: Effects) {
+        let mark = self.journal.last();
+        self.waiting.push_back((mark, effects));
+        self.carry_out_kept();
+    }
+
+    pub(super) fn carry_out_kept(&mut self) {
+        let kept = self.journal.kept();
+        while let Some((_, effects)) = self.waiting.pop_front_if(|(mark, _)| *mark <= kept) {
+            self.carry_out(effects);
+        }
+    }
+
+    fn carry_out(&mut self, effects: Effects) {
+        for (id, o) in effects.taken_on {
+            if !o.answer(Reply::TakenOn) {
+                // The client has left without its answer: it may hand the message in again elsewhere.
+                self.next.push(Event::Expired { id });
+                self.forget(id);
+                self.write_owed(&[Record::Ended(id)]);
+            }
+        }
+        for notice in effects.notices {
+            let _ = self.notices.send(notice);
+        }
+        for (endpoint, members, cancel) in effects.calls {
+            tokio::task::spawn_local(self.client.clone().call(endpoint, members, cancel));
+        }
+    }
+
+    /// Has the next sync run, where rounds wait for one.
+    pub(super) fn sync(&mut self) {
+        let Some(syncs) = &self.syncs else { return };
+        if let Some(sync) = self.journal.sync() {
+            // Its thread ends with this one.
+            let _ = syncs.send(sync);
+        }
+    }
+
+    pub(super) fn write(&mut self, records: &[Record]) -> bool {
+        let result = self.journal.append(records, wall_ms());
+        self.wrote(result)
+    }
+
+    /// For messages that are held, also where nothing new has room.
+    pub(super) fn write_owed(&mut self, records: &[Record]) -> bool {
+        let result = self.journal.append_owed(records, wall_ms());
+        self.wrote(result)
+    }
+
+    fn wrote(&mut self, result: std::io::Result<Mark>) -> bool {
+        match &result {
+            Err(error) if !self.write_failed => {
+                tracing::error!(%error, "cannot write the journal; nothing new is taken on")
+            }
+            Ok(_) if self.write_failed && !self.journal.is_short() => {
+                tracing::info!("the journal is written again")
+            }
+            _ => {}
+        }
+        self.write_failed = result.is_err() || (self.write_failed && self.journal.is_short());
+        result.is_ok()
+    }
+}
