Bound segments at 1 MiB, so that a removal costs the core's thread less

Need: with 64 KiB bodies and 1 GB the removal of a 4 MiB file showed as 0.41 ms at p99.9 (48 us before).

--- a/crates/nickelshed-journal/src/journal.rs
+++ b/crates/nickelshed-journal/src/journal.rs
@@ -144,7 +144,7 @@
 /// Segments are this part of the room.
 const SEGMENTS: u64 = 16;
 const LEAST_SEGMENT: u64 = 16 << 10;
-const MOST_SEGMENT: u64 = 4 << 20;
+const MOST_SEGMENT: u64 = 1 << 20;
 /// Part of the disk's limit that stays free for the folder itself and for rounding.
 const SLACK: f64 = 0.06;
 const BLOCK: u64 = 512;
