Test that a spoilt record of an attempt does not let an unsafe message run twice

Change: a test of the whole sender, with the byte spoilt in the frame that holds the attempt. Result: given up once, called once, what is behind lives.

--- a/crates/nickelshed/tests/sender.rs
+++ b/crates/nickelshed/tests/sender.rs
@@ -433,6 +433,36 @@
     assert_eq!(endpoint.wait_for("whole", 1).len(), 1);
 }
 
+/// The record of an attempt is spoilt, with good records behind it: the attempt is supposed, so an unsafe message is
+/// given up and not sent again, and what stands behind the damage lives.
+#[test]
+fn a_spoilt_record_of_an_attempt_does_not_let_an_unsafe_message_run_twice() {
+    let endpoint = first_then_ok(|| Reply::Hang);
+    let discovery = Discovery::new(json!([closed(7), closed(9)]));
+    let mut node = Node::start(PROGRAM, &discovery);
+    assert_eq!(node.hand_in("order", "m", 7, 16_000, b"x"), 202);
+    let at = |node: &Node| std::fs::metadata(node.segments().pop().unwrap()).unwrap().len() as usize;
+    let begun = at(&node);
+    discovery.set(json!([ready("e-1", endpoint.address, 7), closed(9)]));
+    endpoint.wait_for("m", 1);
+    assert!(at(&node) > begun, "the attempt is written down before it is made");
+    assert_eq!(node.hand_in("order", "behind", 9, 16_000, b"y"), 202);
+    node.kill();
+    let path = node.segments().pop().unwrap();
+    let mut bytes = std::fs::read(&path).unwrap();
+    // Behind the head of the frame that holds the attempt.
+    bytes[begun + 26] ^= 1;
+    std::fs::write(&path, bytes).unwrap();
+    discovery.set(json!([ready("e-1", endpoint.address, 7), ready("e-2", endpoint.address, 9)]));
+    node.restart();
+    assert_eq!(discovery.wait_notice("m")["outcome"], "given_up");
+    assert_eq!(endpoint.wait_for("behind", 1)[0].body, b"y");
+    settle(&node, &endpoint);
+    assert_eq!(endpoint.wait_for("m", 1).len(), 1);
+    assert!(node.log().contains("the journal is damaged"), "{}", node.log());
+    assert!(node.state().join("damaged-0000000000000001").exists());
+}
+
 #[test]
 fn a_damaged_journal_is_never_fatal() {
     let discovery = Discovery::new(json!([closed(7)]));
