--- a/crates/nickelshed-journal/src/journal.rs
+++ b/crates/nickelshed-journal/src/journal.rs
@@ -409,7 +409,10 @@
         let spare = self.spare.take_if(|spare| spare.renamed == Renamed::Kept);
         let (file, has) = match spare {
             Some(spare) => {
-                self.storage.rename(SPARE, &name)?;
+                if let Err(e) = self.storage.rename(SPARE, &name) {
+                    self.spare = Some(spare);
+                    return Err(e);
+                }
                 self.others -= blocks(spare.length);
                 (self.storage.open(&name)?, spare.length)
             }
