--- a/crates/nickelshed-journal/src/journal.rs
+++ b/crates/nickelshed-journal/src/journal.rs
@@ -225,8 +225,6 @@
     }
 
     fn room(&self) -> Room {
-        let attempts = self.max_attempts();
-        let each = bound::to_come(attempts) + bound::growth(attempts);
         let longest = self.segments.iter().map(|s| s.length).max().unwrap_or(0);
         // Room that is taken beforehand: of the segment that is written to, and of one that a copy may begin.
         let reserved = if self.options.durability == Durability::Machine { 2 * self.target() } else { 0 };
@@ -234,21 +232,22 @@
             total: self.total(),
             log: self.log(),
             live: self.table.bytes(),
-            owed: each * self.table.live().len() as u64,
+            owed: self.owed_each() * self.table.live().len() as u64,
             spare: self.target().max(longest) + reserved + 4 * BLOCK,
         }
     }
 
-    fn max_attempts(&self) -> u64 {
-        u64::from(self.options.max_attempts.min(1_000))
+    /// What may still be written of a message that was taken on, and by how much its copy may outgrow its record.
+    fn owed_each(&self) -> u64 {
+        let attempts = u64::from(self.options.max_attempts.min(1_000));
+        bound::to_come(attempts) + bound::growth(attempts)
     }
 
     /// Claims room for a message with all that may come to be written of it, besides what this round has claimed
     /// already. False if there is none: then it must not be taken on.
     pub fn claim(&mut self, taken: &Taken, round: &mut Claim, now: i64) -> bool {
-        let attempts = self.max_attempts();
         let record = bound::taken(taken);
-        let claim = record + bound::to_come(attempts) + bound::growth(attempts);
+        let claim = record + self.owed_each();
         let next = Claim { claimed: round.claimed + claim, frame: round.frame + record };
         let fits = |room: Room| {
             // This round may make the longest segment yet, and that must be copied some day.
@@ -455,7 +454,7 @@
         Ok(())
     }
 
-    /// Copies about so many bytes of what lives in the oldest segments, in one frame. `on`: whether to go on.
+    /// Copies about so many bytes of what lives in the oldest segments, in one write. `on`: whether to go on.
     fn copy(&mut self, budget: u64, now: i64, on: impl Fn(&Room) -> bool) -> io::Result<()> {
         // Copies take room until what they were made of can go, and only a part is kept free for that.
         if self.segments.iter().any(|s| s.emptied.is_some()) {
