Tell silent routes from slow ones by their called-off calls, and end ramps later

Two causes are mended: - where all slots are taken, silent calls are called off for their slots, and that told nothing: the destination was in doubt and never cold, and its first answer let everything go. A trial that is served sooner than those calls were given up now tells that it was silent; a slow one is not ramped. - the ramp ended by the last failure seen, though the return may have come a trial's length after it.

--- a/crates/nickelshed-policy/src/rules.rs
+++ b/crates/nickelshed-policy/src/rules.rs
@@ -428,7 +428,7 @@
                 self.ended.push(e.endpoint);
             }
             if first {
-                self.judge(e, route_id, overdue);
+                self.judge(e, route_id, now - sent, overdue);
             }
         }
         if over {
@@ -462,10 +462,11 @@
     }
 
     /// Reads one call's outcome for its route: the limit's reports and the symptoms of an outage.
-    fn judge(&mut self, e: &AttemptEnd, route_id: RouteId, overdue: bool) {
+    fn judge(&mut self, e: &AttemptEnd, route_id: RouteId, age: Ns, overdue: bool) {
         let now = self.now;
         let jitter = 0.5 + self.random();
         let n = self.cfg.n_instances.max(1) as f64;
+        let trial = self.trial();
         let Some(route) = self.routes.get_mut(&route_id) else { return };
         let Some(place) = self.endpoints.get_mut(&e.endpoint) else { return };
         let mut left = None;
@@ -487,9 +488,12 @@
                 route.proved_at = now;
                 (route.failures, route.refusals) = (0, 0);
                 route.failing *= 0.7;
+                // Overdue calls that were called off tell nothing by themselves. A trial that is served sooner
+                // than they were given up tells that the route was silent, and not slow.
+                let given_up = std::mem::take(&mut route.called_off);
+                route.cold |= route.doubt && age < given_up;
                 if route.doubt && route.cold {
                     // Trials without a slot saw nothing: it may be back no longer than one usually takes.
-                    let trial = SECOND * self.cfg.n_instances.max(3) as Ns;
                     route.last_failure = route.last_failure.max(now - trial);
                 }
                 route.doubt = false;
@@ -527,7 +531,10 @@
                 place.avoid_until = now + SECOND;
                 true
             }
-            Outcome::CalledOff => false,
+            Outcome::CalledOff => {
+                route.called_off = route.called_off.max(if overdue { age } else { 0 });
+                false
+            }
             Outcome::NotSent => {
                 route.not_before = now + 4 * self.cfg.tick;
                 false
@@ -578,6 +585,11 @@
         }
     }
 
+    /// The longest time from one trial to the next.
+    fn trial(&self) -> Ns {
+        SECOND * self.cfg.n_instances.max(3) as Ns
+    }
+
     /// Calls a second that a cold route may get from this sender: its part of the fall-over budget. It grows
     /// from the last failure seen, as the return may have come right after it. Where no limit is told the
     /// part is by what the route has served this sender: those of all add up to no more than it could do.
@@ -601,9 +613,11 @@
         if held_off > now {
             return held_off;
         }
-        let ramp = self.ramp(route);
+        let (ramp, trial) = (self.ramp(route), self.trial());
         let route = self.routes.get_mut(&id).expect("looked up above");
-        if route.cold && !route.doubt && now - route.last_failure > self.cfg.cold {
+        // Its return may have come as long as a trial takes after the last failure that was seen.
+        let warm = route.last_failure.saturating_add(self.cfg.cold + trial);
+        if route.cold && !route.doubt && now > warm {
             route.cold = false;
         }
         if route.doubt {
@@ -821,11 +835,11 @@
         let now = self.now;
         let route_id = self.route_of(endpoint);
         let ramp = self.ramp(&self.routes[&route_id]);
-        let wait = (2e9 * self.random() / ramp) as Ns;
+        let (wait, trial) = ((2e9 * self.random() / ramp) as Ns, self.trial());
         let route = self.routes.get_mut(&route_id).expect("a candidate's route is known");
         route.in_flight += 1;
         route.tokens -= 1.0;
-        route.next_trial = now + wait.clamp(500 * MS, SECOND * self.cfg.n_instances.max(3) as Ns);
+        route.next_trial = now + wait.clamp(500 * MS, trial);
         let trial = route.doubt;
         self.trials += trial as usize;
         let place = self.endpoints.get_mut(&endpoint).expect("a candidate's endpoint is known");
--- a/crates/nickelshed-policy/src/state.rs
+++ b/crates/nickelshed-policy/src/state.rs
@@ -81,6 +81,8 @@
     pub failing: f64,
     pub doubt: bool,
     pub cold: bool,
+    /// The longest that an overdue call was out which was called off, since the route served last.
+    pub called_off: Ns,
     pub last_failure: Ns,
     pub next_trial: Ns,
     pub served: Stat,
--- a/crates/nickelshed-policy/tests/module.rs
+++ b/crates/nickelshed-policy/tests/module.rs
@@ -761,3 +761,57 @@
     s.give(vec![Event::List { whole: true, entries: vec![entry(1, 1, 0)] }]);
     assert_eq!(sends(&s.give((0..30).map(|i| Event::Message(message(i, 1, 1))).collect())).len(), 1);
 }
+
+/// Three silent calls at a destination are called off, as all slots are taken and work for another one waits. Then the
+/// first trial is answered after `took`: how many calls go there within 20 ms of that.
+fn calls_after_being_called_off(took: Ns) -> usize {
+    let entries = [entry(1, 1, 0), entry(2, 2, 0), entry(3, 3, 0)];
+    let mut s = Stand::new(Settings { max_attempts: 100, ..settings() }, &entries);
+    let mut next = 0;
+    serve(&mut s, &mut next, 10, 10 * SECOND);
+    let silent = s.give((0..3).map(|i| Event::Message(message(next + i, 1, 1))).collect());
+    assert_eq!(sends(&silent).len(), 3);
+    let others = (0..18).map(|i| Event::Message(message(next + 3 + i, 2 + i / 9, 1)));
+    let mut well = sends(&s.give(others.collect()));
+    assert_eq!(well.len(), 9, "all slots are taken");
+    let mut called_off = 0;
+    while called_off < 3 {
+        // Each end may have the next one called off at once.
+        let mut actions = std::collections::VecDeque::from(plain(&s.pass(5 * MS)));
+        while let Some(action) = actions.pop_front() {
+            match action {
+                Action::Cancel { id, attempt } => {
+                    called_off += 1;
+                    actions.extend(s.end(end(id, attempt, 1, Outcome::CalledOff)));
+                }
+                other => well.extend(sends(&[other])),
+            }
+        }
+        assert!(s.now < T0 + 60 * SECOND, "{called_off} called off");
+    }
+    // Work waits for the one that was silent, and there are slots again.
+    let mut out = s.give((0..8).map(|i| Event::Message(message(next + 30 + i, 1, 1))).collect());
+    for (id, endpoint) in well {
+        out.extend(s.end(end(id, 0, endpoint, Outcome::Served)));
+    }
+    let trials = |out: &[Action]| sends(out).into_iter().filter(|(_, endpoint)| *endpoint == 1).collect();
+    let mut tried: Vec<_> = trials(&out);
+    while tried.is_empty() {
+        tried = trials(&plain(&s.pass(5 * MS)));
+        assert!(s.now < T0 + 60 * SECOND, "no trial");
+    }
+    let [(id, _)] = tried[..] else { panic!("one trial, and not {tried:?}") };
+    s.pass(took);
+    let attempt = u32::from(id < next + 3);
+    let mut after = s.end(AttemptEnd { took, ..end(id, attempt, 1, Outcome::Served) });
+    after.extend(plain(&s.pass(20 * MS)));
+    let calls: Vec<_> = trials(&after);
+    calls.len()
+}
+
+#[test]
+fn a_silent_route_whose_calls_were_called_off_returns_along_the_ramp_and_a_slow_one_does_not() {
+    let slow = calls_after_being_called_off(3 * SECOND);
+    let silent = calls_after_being_called_off(100 * MS);
+    assert!(silent <= 1 && slow >= 5, "{silent} calls at once to what was silent, {slow} to what was slow");
+}
