Keep who is out in two places by turns, so that a torn write leaves the one before

The file keeps its 4 KiB; a note has 2,032 bytes of it, and the newest whole one counts. One of the version before is nothing, once.

--- a/crates/nickelshed-journal/src/journal.rs
+++ b/crates/nickelshed-journal/src/journal.rs
@@ -130,6 +130,8 @@
     others: u64,
     /// The file of notes is there. Its room counts from the start, so that it never takes what is claimed.
     noted: bool,
+    /// The number of the note that stands there, or 0.
+    note_number: u64,
     round: Round,
     durable: Round,
     /// The last round that stands on the disk. Those before it need not, while a failed sync is being made up for.
@@ -332,12 +334,16 @@
         }
         let file = if self.noted { self.storage.open(NOTE)? } else { self.storage.create(NOTE)? };
         self.noted = true;
-        self.storage.write_all_at(&file, &note::sealed(bytes), 0)
+        let number = self.note_number + 1;
+        // The one before stands in the other place until this one is whole.
+        self.storage.write_all_at(&file, &note::sealed(number, bytes), note::place(number))?;
+        self.note_number = number;
+        Ok(())
     }
 
-    /// What was kept last, if it is whole.
+    /// What was kept last and is whole.
     pub fn note(&self) -> Option<Vec<u8>> {
-        note::opened(&self.storage.read(NOTE, NOTE_SIZE).ok()?)
+        Some(note::newest(&self.storage.read(NOTE, NOTE_SIZE).ok()?)?.1)
     }
 
     /// Whether new messages wait for room on the disk that other programs have taken.
--- a/crates/nickelshed-journal/src/journal/open.rs
+++ b/crates/nickelshed-journal/src/journal/open.rs
@@ -104,6 +104,7 @@
             ballast_tried: i64::MIN,
             others: 0,
             noted: files.iter().any(|(name, _)| name == NOTE),
+            note_number: 0,
             round: 0,
             durable: 0,
             on_disk: 0,
@@ -151,6 +152,9 @@
             |name: &str| segment_number(name).is_some() || [BALLAST, LEGACY_NEW, SPARE, NOTE].contains(&name);
         journal.others = files.iter().filter(|(n, _)| !ours(n)).map(|(_, length)| blocks(*length)).sum();
         journal.others += blocks(NOTE_SIZE);
+        // One that can't be read is nothing, and is written over.
+        let note = journal.noted.then(|| journal.storage.read(NOTE, NOTE_SIZE).ok()).flatten();
+        journal.note_number = note.and_then(|file| Some(note::newest(&file)?.0)).unwrap_or(0);
         journal.hold_ballast(now);
         journal.set_aside(&mut found, &files, now)?;
         journal.import(&mut found, &files, now)?;
