Book slots and time by how destinations stand, beside the mark of one who knows that

The judge now books slot time by state, first and further tries and use, and late messages by what took their time; the model has the mark of one who knows every destination's state.

--- a/crates/nickelshed-judge/src/worth.rs
+++ b/crates/nickelshed-judge/src/worth.rs
@@ -64,7 +64,7 @@
 
 impl Worth {
     /// Of what was delivered after so long.
-    fn after(&self, took: Us) -> f64 {
+    pub fn after(&self, took: Us) -> f64 {
         let late = took.saturating_sub(self.wanted) as f64 / self.wanted.max(1) as f64;
         self.whole * 0.5f64.powf(late).max(self.least)
     }
--- a/crates/nickelshed-lab/src/main.rs
+++ b/crates/nickelshed-lab/src/main.rs
@@ -1,5 +1,6 @@
 //! The program `nickelshed-lab`: its arguments, and what it prints of days.
 use clap::{Parser, Subcommand};
+use nickelshed_judge::{Account, State};
 use nickelshed_lab::{
     difference, explore, files, kills, memory, play, play_so, Day, Every, Explored, Manner,
 };
@@ -125,6 +126,53 @@
     let _ = std::io::stdout().lock().write_all(text.as_bytes());
 }
 
+fn state(state: State) -> &'static str {
+    match state {
+        State::Well => "well",
+        State::Unseen => "out, not seen yet",
+        State::Sick => "out, seen",
+        State::Returning => "returning",
+    }
+}
+
+fn accounted(account: &Account) -> String {
+    let mut out = String::new();
+    let _ = writeln!(
+        out,
+        "  {:.1}% of slot time in vain; by how destinations stood, in seconds:",
+        100.0 * account.in_vain()
+    );
+    let time = |of: (State, bool, bool)| account.slots.get(&of).copied().unwrap_or(0) as f64 / 1e6;
+    for s in [State::Well, State::Unseen, State::Sick, State::Returning] {
+        let [a, b, c, d] =
+            [(true, true), (true, false), (false, true), (false, false)].map(|(f, u)| time((s, f, u)));
+        if a + b + c + d > 0.0 {
+            let _ = writeln!(
+                out,
+                "    {:<18} first tries {a:7.1} useful {b:7.1} in vain; further ones {c:7.1} useful {d:7.1} in vain",
+                state(s)
+            );
+        }
+    }
+    let all: usize = account.causes.values().sum();
+    for ((s, doing), n) in &account.causes {
+        let part = 100.0 * *n as f64 / all.max(1) as f64;
+        let _ = writeln!(
+            out,
+            "    late or not delivered, most of its time {doing:?} while {}: {n} ({part:.0}%)",
+            state(*s)
+        );
+    }
+    let (calm, amid) = account.well_p99_ms;
+    if amid > 0.0 {
+        let _ = writeln!(
+            out,
+            "  p99 for destinations that are well: {calm:.0} ms while none is out, {amid:.0} ms while any is"
+        );
+    }
+    out
+}
+
 fn tell(name: &str, seed: u64, day: &Day, took: Duration) -> String {
     let r = &day.reckoning;
     let mut out = String::new();
@@ -140,12 +188,19 @@
         "  worth {:.4}: {} messages, {} in time, {} late, {} not delivered; p50 {:.0} ms, p99 {:.0} ms",
         r.worth, r.messages, r.in_time, r.late, r.lost, r.p50_ms, r.p99_ms
     );
+    let _ = writeln!(
+        out,
+        "  {:.4} is reached by one who knows how every destination stands: {:.3} of that here",
+        day.reachable,
+        r.worth / day.reachable.max(1e-9)
+    );
     let _ = writeln!(out, "  {} calls, {} turned away", r.calls, r.turned_away);
     let why: Vec<String> =
         r.why.iter().map(|(why, n)| format!("{n} {}", format!("{why:?}").to_lowercase())).collect();
     if !why.is_empty() {
         let _ = writeln!(out, "  late or not delivered, by what took their time: {}", why.join(", "));
     }
+    out += &accounted(&day.account);
     for broken in day.broken.iter().take(10) {
         let _ = writeln!(
             out,
--- a/crates/nickelshed-lab/src/play.rs
+++ b/crates/nickelshed-lab/src/play.rs
@@ -8,8 +8,10 @@
 use crate::world::{Place, World};
 use nickelshed::Told;
 use nickelshed_config::sidecar::{Effect, Scope};
-use nickelshed_judge::{judge, reckon, Broken, Event, Figures, Known, Reckoning, Us, What, Worth};
-use nickelshed_model::{arrivals, Kind, Mix, Scenario, Trouble};
+use nickelshed_judge::{
+    account, judge, reckon, Account, Broken, Event, Figures, Known, Reckoning, Us, What, Worth,
+};
+use nickelshed_model::{arrivals, soonest, Kind, Mix, Scenario, Trouble};
 use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -35,6 +37,10 @@
     pub events: Vec<Event>,
     pub broken: Vec<Broken>,
     pub reckoning: Reckoning,
+    /// Where slots and time went.
+    pub account: Account,
+    /// The worth that one reaches who knows how every destination stands (`soonest`).
+    pub reachable: f64,
     /// Why a sender ended by itself, or a part of it did.
     pub crashes: Vec<String>,
     pub length: Duration,
@@ -266,6 +272,18 @@
     troubles
 }
 
+/// The part of the worth asked for that `soonest` delivers.
+fn reachable(scenario: &Scenario, seed: u64, worths: &[Worth]) -> f64 {
+    let soonest = soonest(scenario, seed);
+    let (mut asked, mut got) = (0.0, 0.0);
+    for arrival in arrivals(scenario, seed) {
+        let worth = worths[arrival.class];
+        asked += worth.whole;
+        got += soonest[arrival.message as usize].map_or(0.0, |took| worth.after(took));
+    }
+    got / f64::max(asked, 1e-9)
+}
+
 async fn day(scenario: Scenario, seed: u64, manner: Manner) -> Day {
     let lie = manner.lie;
     let world = World::new(&scenario, seed, manner);
@@ -334,6 +352,8 @@
     Day {
         broken: judge(&events, figures),
         reckoning: reckon(&events, &worths),
+        account: account(&events, &worths, figures.cold),
+        reachable: reachable(&scenario, seed, &worths),
         crashes,
         length: world.net.start().elapsed(),
         done: world.lives.iter().map(|life| life.done()).collect(),
--- a/crates/nickelshed-model/src/lib.rs
+++ b/crates/nickelshed-model/src/lib.rs
@@ -2,11 +2,13 @@
 //! the clients that hand messages in. Time is handed in, random numbers come from streams of a seed; no I/O.
 mod draw;
 mod scenario;
+mod soonest;
 mod system;
 mod traffic;
 
 pub use draw::draw;
 pub use scenario::{Kind, Mix, Scenario, Trouble};
+pub use soonest::soonest;
 pub use system::{Call, Fate, Happened, System};
 pub use traffic::{arrivals, shares, Arrival};
 
--- a/crates/nickelshed-model/src/system.rs
+++ b/crates/nickelshed-model/src/system.rs
@@ -7,8 +7,8 @@
 use std::collections::{BTreeMap, VecDeque};
 
 /// The rules' figures as a customer system keeps them.
-const START_CAPACITY: f64 = 0.26;
-const COLD: Us = 9_500_000;
+pub const START_CAPACITY: f64 = 0.26;
+pub const COLD: Us = 9_500_000;
 const FALL_MULTIPLE: f64 = 1.5;
 const FALL_FOR: Us = 2_000_000;
 /// Chance leaves so many messages more.
