--- a/crates/nickelshed-policy/src/rules.rs
+++ b/crates/nickelshed-policy/src/rules.rs
@@ -488,7 +488,7 @@
                 route.proved_at = now;
                 (route.failures, route.refusals) = (0, 0);
                 route.failing *= 0.7;
-                // Overdue calls that were called off tell nothing by themselves. A trial that is served sooner than
+                // Overdue calls that were called off tell nothing by themselves. A trial served sooner than
                 // they were given up tells that the route was silent, and not slow.
                 let given_up = std::mem::take(&mut route.called_off);
                 route.cold |= route.doubt && age < given_up;
