--- a/crates/nickelshed-lab/src/lib.rs
+++ b/crates/nickelshed-lab/src/lib.rs
@@ -26,4 +26,4 @@
 pub use lie::Lie;
 pub use life::{Cut, Done};
 pub use manner::{Kill, Manner};
-pub use play::{play, play_so, Day};
+pub use play::{accounted, play, play_so, Day};
--- a/crates/nickelshed-lab/src/main.rs
+++ b/crates/nickelshed-lab/src/main.rs
@@ -2,7 +2,7 @@
 use clap::{Parser, Subcommand};
 use nickelshed_judge::{Account, State};
 use nickelshed_lab::{
-    difference, explore, files, kills, memory, play, play_so, Day, Every, Explored, Manner,
+    accounted, difference, explore, files, kills, memory, play, play_so, Day, Every, Explored, Manner,
 };
 use nickelshed_model::Scenario;
 use std::fmt::Write as _;
@@ -135,7 +135,7 @@
     }
 }
 
-fn accounted(account: &Account) -> String {
+fn booked(account: &Account) -> String {
     let mut out = String::new();
     let _ = writeln!(
         out,
@@ -173,7 +173,8 @@
     out
 }
 
-fn tell(name: &str, seed: u64, day: &Day, took: Duration) -> String {
+fn tell(name: &str, scenario: &Scenario, seed: u64, day: &Day, took: Duration) -> String {
+    let (account, reachable) = accounted(scenario, seed, day);
     let r = &day.reckoning;
     let mut out = String::new();
     let _ = writeln!(
@@ -191,8 +192,8 @@
     let _ = writeln!(
         out,
         "  {:.4} is reached by one who knows how every destination stands: {:.3} of that here",
-        day.reachable,
-        r.worth / day.reachable.max(1e-9)
+        reachable,
+        r.worth / reachable.max(1e-9)
     );
     let _ = writeln!(out, "  {} calls, {} turned away", r.calls, r.turned_away);
     let why: Vec<String> =
@@ -200,7 +201,7 @@
     if !why.is_empty() {
         let _ = writeln!(out, "  late or not delivered, by what took their time: {}", why.join(", "));
     }
-    out += &accounted(&day.account);
+    out += &booked(&account);
     for broken in day.broken.iter().take(10) {
         let _ = writeln!(
             out,
@@ -231,7 +232,7 @@
         let seed = seed.or(scenario.seed).unwrap_or(1);
         let from = Instant::now();
         let day = play(&scenario, seed)?;
-        print(&tell(&path.display().to_string(), seed, &day, from.elapsed()));
+        print(&tell(&path.display().to_string(), &scenario, seed, &day, from.elapsed()));
         clean &= day.is_clean();
         if let Some(trace) = trace {
             let line = |e| serde_json::to_string(e).unwrap_or_default() + "\n";
--- a/crates/nickelshed-lab/src/play.rs
+++ b/crates/nickelshed-lab/src/play.rs
@@ -37,10 +37,6 @@
     pub events: Vec<Event>,
     pub broken: Vec<Broken>,
     pub reckoning: Reckoning,
-    /// Where slots and time went.
-    pub account: Account,
-    /// The worth that one reaches who knows how every destination stands (`soonest`).
-    pub reachable: f64,
     /// Why a sender ended by itself, or a part of it did.
     pub crashes: Vec<String>,
     pub length: Duration,
@@ -272,6 +268,20 @@
     troubles
 }
 
+/// What the messages of each class are worth.
+fn worths(scenario: &Scenario) -> Vec<Worth> {
+    let worth =
+        |c: &Mix| Worth { wanted: c.wanted_within.0.as_micros() as Us, whole: c.worth, least: LATE_WORTH };
+    scenario.mix().iter().map(worth).collect()
+}
+
+/// Where a day's slots and time went, and the worth that one reaches who knows how every destination stands. Apart from
+/// the day, as days that are only judged need neither.
+pub fn accounted(scenario: &Scenario, seed: u64, day: &Day) -> (Account, f64) {
+    let worths = worths(scenario);
+    (account(&day.events, &worths, Figures::default().cold), reachable(scenario, seed, &worths))
+}
+
 /// The part of the worth asked for that `soonest` delivers.
 fn reachable(scenario: &Scenario, seed: u64, worths: &[Worth]) -> f64 {
     let soonest = soonest(scenario, seed);
@@ -344,16 +354,11 @@
     };
     let window = scenario.repeat_window.0.as_micros() as Us;
     let figures = Figures { window, known, ..Figures::default() };
-    let worth =
-        |c: &Mix| Worth { wanted: c.wanted_within.0.as_micros() as Us, whole: c.worth, least: LATE_WORTH };
-    let worths: Vec<Worth> = scenario.mix().iter().map(worth).collect();
     let mut crashes = world.crashes.borrow().clone();
     crashes.extend(PANICS.with(|p| p.borrow_mut().take()).unwrap_or_default());
     Day {
         broken: judge(&events, figures),
-        reckoning: reckon(&events, &worths),
-        account: account(&events, &worths, figures.cold),
-        reachable: reachable(&scenario, seed, &worths),
+        reckoning: reckon(&events, &worths(&scenario)),
         crashes,
         length: world.net.start().elapsed(),
         done: world.lives.iter().map(|life| life.done()).collect(),
