Ask discovery by turns over the whole fleet, and only for what has changed

Ruled out: a wait told by the 503 (it has none), the wait alone (doubling it to 6.4 s left about thirty asks a second, and still nobody was let in), the second ask alone (39 of 100 stayed in). At fault: the fixed PAUSE and the whole list first in discovery.rs.

Now each sender that holds a list asks at a time of chance within 50 ms for each other sender, only for what has changed, and after a failure within a ceiling that begins there and doubles up to 20 s (discovery/asking.rs, no I/O). A list is waited for 3 s, longer than a crowded discovery keeps a call. A start no longer waits for news that it has not asked for. Tests play a fleet against such a queue: all answered within two rounds, never with the pause of before.

--- a/crates/nickelshed/src/core.rs
+++ b/crates/nickelshed/src/core.rs
@@ -252,8 +252,11 @@
                 }
                 Input::Ended(ends) => {
                     for end in ends {
-                        let ms = end.took / MS;
-                        tracing::debug!(end.id, end.attempt, end.endpoint, ?end.outcome, ms, "attempt ended");
+                        let (ms, wait) = (end.took / MS, end.wait / MS);
+                        let (left, limit) = end.report.map_or((-1.0, -1.0), |r| (r.left, r.limit));
+                        tracing::debug!(
+                            end.id, end.attempt, end.endpoint, ?end.outcome, ms, wait, left, limit, "attempt ended"
+                        );
                         self.ended(&end, &mut records);
                         round.events.push(Event::AttemptEnd(end));
                     }
@@ -329,12 +332,14 @@
             }
         }
         for (o, reply) in refused {
+            tracing::debug!(id = o.taken.id, dest = o.taken.dest, "not taken on");
             self.forget(o.taken.id);
             o.answer(reply);
         }
         let mut effects = Effects::default();
         for &(id, ending) in &endings {
             if let Some(held) = self.forget(id) {
+                tracing::debug!(id, dest = held.taken.dest, attempts = held.attempts, ?ending, "given up");
                 records.push(Record::Decided(id, ending));
                 effects.notices.push(self.notice(&held.taken, ending));
             }
@@ -387,12 +392,14 @@
         let class = class.filter(|_| self.journal.claim(&taken, &mut round.claim, self.host.wall_ms()));
         let Some(class) = class else {
             let after = Duration::from_nanos(self.sender.backoff(taken.dest).max(0) as u64);
+            tracing::debug!(dest = taken.dest, held = self.held.len(), "no room");
             let _ = reply.send(Reply::Refused(Some(after)));
             return;
         };
         self.next_id += 1;
         let taken = Rc::new(taken);
         let left = end.saturating_duration_since(round.at).as_nanos() as Ns;
+        tracing::debug!(taken.id, dest = taken.dest, tenant = taken.tenant, left = left / MS, "taken");
         let message = self.hold(taken.clone(), class, left, self.clock(end), 0);
         round.events.push(Event::Message(message));
         round.offered.insert(taken.id, Offered { taken, replies: vec![reply] });
--- a/crates/nickelshed/src/core/resume.rs
+++ b/crates/nickelshed/src/core/resume.rs
@@ -1,15 +1,15 @@
 //! The start: what an earlier process of this sender has left in the journal.
 use super::*;
 
-const FIRST_LIST: Duration = Duration::from_millis(300);
-
 impl<S: Storage, H: Host> Core<S, H> {
-    /// Takes up what the journal holds. Where `known` may be old a fresh list is waited for, but not for long.
-    pub async fn resume(&mut self, known: List, may_be_old: bool) {
+    /// Takes up what the journal holds. Where `known` may be old, news of it is waited for as long as told; not where
+    /// that would hold up the start.
+    pub async fn resume(&mut self, known: List, news_within: Duration) {
         let mut events = vec![self.list(known, true)];
-        let first = match may_be_old {
-            true => timeout(FIRST_LIST, self.inbox.recv()).await.ok().flatten(),
-            false => None,
+        let first = match news_within {
+            Duration::ZERO => None,
+            wait if wait > crate::FIRST_LIST => None,
+            wait => timeout(wait, self.inbox.recv()).await.ok().flatten(),
         };
         if let Some(Input::List(list)) = first {
             let whole = list.reset;
--- a/crates/nickelshed/src/discovery.rs
+++ b/crates/nickelshed/src/discovery.rs
@@ -1,8 +1,12 @@
-//! The list of endpoints: the whole list once, then a watch that goes out again at once.
+//! The list of endpoints: the whole list once, then a watch that goes out again at once. When it is asked again
+//! after a failure is for `asking` to say.
+mod asking;
+
 use crate::connections::{self, Connection};
 use crate::inbox::Input;
 use crate::list::List;
 use crate::watched;
+pub use asking::Asking;
 use nickelshed_host::Host;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -12,8 +16,9 @@
 /// How long a watch waits, and how much longer for its answer: the agent is silent while discovery is down,
 /// and a watch begun in that time may never be answered.
 const WAIT: Duration = Duration::from_secs(5);
-const GRACE: Duration = Duration::from_millis(1_500);
-const PAUSE: Duration = Duration::from_millis(100);
+const GRACE: Duration = Duration::from_millis(3_000);
+/// What is known already is answered within this.
+const AT_ONCE: Duration = Duration::from_millis(50);
 const MAX_LIST: usize = 1 << 20;
 
 async fn get<H: Host>(
@@ -25,7 +30,8 @@
     let kept = Connection::kept_or_new(connection, host, at, Duration::from_secs(1)).await;
     let mut link = kept.map_err(|e| e.to_string())?;
     let request = connections::request("GET", path, at, &[], Default::default());
-    let (status, _, body) = link.exchange(request, MAX_LIST).await.map_err(|e| e.to_string())?;
+    let (status, headers, body) = link.exchange(request, MAX_LIST).await.map_err(|e| e.to_string())?;
+    tracing::debug!(path, status, ?headers, bytes = body.len(), "discovery answered");
     if status != 200 {
         return Err(format!("answered {status}"));
     }
@@ -34,12 +40,32 @@
     Ok(list)
 }
 
+/// A list that is held at the start, and when it is first asked what has changed since.
+pub struct Held {
+    pub generation: u64,
+    pub ask_after: Duration,
+}
+
+impl Held {
+    /// How long after the start news of it would be here: nothing new is told at once, if at all.
+    pub fn news_within(&self) -> Duration {
+        self.ask_after + AT_ONCE
+    }
+}
+
 /// Never ends: while discovery is silent the sender goes on with the list it has. Where its address changes,
 /// what is under way at the old one is dropped at once, and the new one is first asked for a whole list.
-pub async fn follow<H: Host>(host: H, mut place: watched::Listener<SocketAddr>, core: mpsc::Sender<Input>) {
+pub async fn follow<H: Host>(
+    host: H,
+    mut place: watched::Listener<SocketAddr>,
+    held: Option<Held>,
+    mut asking: Asking,
+    core: mpsc::Sender<Input>,
+) {
     let mut connection = None;
-    let mut known: Option<u64> = None;
+    let mut known = held.as_ref().map(|held| held.generation);
     let mut failing = false;
+    sleep(held.map_or(Duration::ZERO, |held| held.ask_after)).await;
     loop {
         let at = place.latest();
         let path = known.map_or("/v1/servers".to_string(), |generation| {
@@ -59,6 +85,7 @@
                 if std::mem::take(&mut failing) {
                     tracing::info!("discovery answers again");
                 }
+                asking.answered();
                 // A change builds on a list: the first answer must be whole.
                 if list.reset || known.is_some() {
                     known = Some(list.generation);
@@ -67,14 +94,14 @@
                         return;
                     }
                 } else {
-                    sleep(PAUSE).await;
+                    sleep(asking.failed()).await;
                 }
             }
             Some(Err(error)) => {
                 if !std::mem::replace(&mut failing, true) {
                     tracing::warn!(%error, "discovery fails; going on with the list held");
                 }
-                sleep(PAUSE).await;
+                sleep(asking.failed()).await;
             }
         }
     }
--- /dev/null
+++ b/crates/nickelshed/src/discovery/asking.rs
@@ -0,0 +1,139 @@
+//! When discovery is asked. No I/O: what became of an ask comes in, how long to leave discovery alone goes out.
+//!
+//! A discovery with more calls than it can answer turns some away, and those cost it as much as the others. One sender
+//! that asks on at once does no harm; a hundred keep it down for good. So the waits are drawn between nought and a
+//! ceiling that stands for the whole fleet: as many times `EACH` as there are senders, doubled with each failure in a
+//! row. A list that is held already need not be asked for in the moment of the start either, when all the others
+//! start too.
+use std::time::Duration;
+
+/// Of the time in which the whole fleet asks once, each sender's part.
+const EACH: Duration = Duration::from_millis(50);
+/// The least ceiling after a failure, and the highest.
+const LEAST: Duration = Duration::from_millis(100);
+const MOST: Duration = Duration::from_secs(20);
+
+/// What became of the last asks of one sender.
+#[derive(Debug)]
+pub struct Asking {
+    /// The time in which the whole fleet asks once.
+    round: Duration,
+    /// In a row.
+    failures: u32,
+    random: fastrand::Rng,
+}
+
+impl Asking {
+    pub fn new(senders: usize, seed: u64) -> Asking {
+        let others = u32::try_from(senders.saturating_sub(1)).unwrap_or(u32::MAX);
+        let round = EACH.saturating_mul(others).min(MOST);
+        Asking { round, failures: 0, random: fastrand::Rng::with_seed(seed) }
+    }
+
+    /// How long after the start a sender that holds a list first asks what has changed since.
+    pub fn first(&mut self) -> Duration {
+        self.round.mul_f64(self.random.f64())
+    }
+
+    pub fn answered(&mut self) {
+        self.failures = 0;
+    }
+
+    /// How long to leave discovery alone after an ask that failed.
+    pub fn failed(&mut self) -> Duration {
+        let ceiling = self.round.max(LEAST).saturating_mul(1 << self.failures.min(16)).min(MOST);
+        self.failures = self.failures.saturating_add(1);
+        // Never at once: an ask that fails in no time would be repeated as fast as the process can.
+        LEAST / 2 + ceiling.mul_f64(self.random.f64())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::collections::BTreeSet;
+
+    const MS: u64 = 1_000;
+
+    /// Discovery as a queue: calls are answered one by one, each after `SERVICE`, and who has waited for `PATIENCE` is
+    /// turned away, though its place in the queue was worked for all the same.
+    const SERVICE: u64 = 50 * MS;
+    const PATIENCE: u64 = 2_000 * MS;
+
+    /// When the last of so many senders that start together has its answer, and how many were turned away; None after
+    /// two minutes. Times are in microseconds.
+    fn all_answered(
+        senders: u64,
+        first: impl Fn(u64) -> u64,
+        failed: impl Fn(u64) -> u64,
+    ) -> (Option<u64>, u32) {
+        let mut asks: BTreeSet<(u64, u64)> = (0..senders).map(|s| (first(s), s)).collect();
+        let (mut free_at, mut last, mut turned_away) = (0u64, 0, 0);
+        while let Some((at, sender)) = asks.pop_first() {
+            if at > 120_000 * MS {
+                return (None, turned_away);
+            }
+            free_at = free_at.max(at) + SERVICE;
+            if free_at - at > PATIENCE {
+                turned_away += 1;
+                asks.insert((at + PATIENCE + failed(sender), sender));
+            } else {
+                last = last.max(free_at);
+            }
+        }
+        (Some(last), turned_away)
+    }
+
+    fn fleet(senders: u64, seed: u64) -> (Option<u64>, u32) {
+        let each = (0..senders).map(|s| Asking::new(senders as usize, seed * 1_000 + s));
+        let each: Vec<_> = each.map(std::cell::RefCell::new).collect();
+        let micros = |d: Duration| d.as_micros() as u64;
+        let asking = |s: u64| each[s as usize].borrow_mut();
+        all_answered(senders, |s| micros(asking(s).first()), |s| micros(asking(s).failed()))
+    }
+
+    #[test]
+    fn a_fleet_that_starts_together_does_not_keep_discovery_down() {
+        for seed in 1..=20 {
+            for senders in [2, 10, 30, 100, 300] {
+                let (last, turned_away) = fleet(senders, seed);
+                let last = last.expect("all are answered in the end");
+                // Once round all of them, and as long again for those that met a crowd.
+                assert!(last < 2 * senders.max(4) * SERVICE + PATIENCE, "{senders} senders: {last} us");
+                assert!(u64::from(turned_away) < senders, "{senders} senders: {turned_away} turned away");
+            }
+        }
+    }
+
+    #[test]
+    fn asking_again_at_once_would_keep_it_down() {
+        assert_eq!(all_answered(100, |_| 0, |_| 100 * MS).0, None);
+    }
+
+    #[test]
+    fn waits_are_spread_over_a_ceiling_that_doubles_and_has_an_end() {
+        let mut asking = Asking::new(100, 1);
+        for ceiling in [4_950, 9_900, 19_800, 20_000, 20_000] {
+            let ceiling = LEAST / 2 + Duration::from_millis(ceiling);
+            let waits: Vec<Duration> = (0..400)
+                .map(|seed| Asking { failures: asking.failures, ..Asking::new(100, seed) }.failed())
+                .collect();
+            assert!(waits.iter().all(|w| *w >= LEAST / 2 && *w <= ceiling));
+            assert!(waits.iter().any(|w| *w < ceiling / 8) && waits.iter().any(|w| *w > ceiling * 7 / 8));
+            asking.failed();
+        }
+        asking.answered();
+        assert!(asking.failed() < Duration::from_millis(5_000));
+    }
+
+    #[test]
+    fn any_number_of_senders_gives_waits_that_pass() {
+        for senders in [0, 1, 2, 100_000, usize::MAX] {
+            let mut asking = Asking::new(senders, 7);
+            assert!(asking.first() <= MOST);
+            let waits: Vec<Duration> = (0..100).map(|_| asking.failed()).collect();
+            assert!(waits.iter().all(|w| *w >= LEAST / 2 && *w <= MOST + LEAST));
+        }
+        assert_eq!(Asking::new(1, 7).first(), Duration::ZERO, "who is alone waits for nobody");
+    }
+}
--- a/crates/nickelshed/src/lib.rs
+++ b/crates/nickelshed/src/lib.rs
@@ -41,6 +41,8 @@
 const END: Duration = Duration::from_millis(3_300);
 /// How long a sync that failed is left before the next.
 const SYNC_AGAIN: Duration = Duration::from_millis(200);
+/// How long a start waits for the first list, or for what has changed since the one it holds.
+const FIRST_LIST: Duration = Duration::from_millis(300);
 /// Inputs that wait for the core. Clients are told 503 beyond it.
 const INBOX: usize = 2_048;
 
@@ -223,10 +225,17 @@
         Endpoints::Listed => (None, None),
     };
     spawn_local(reload(form.clone(), signals.hangups, place, core_in.clone()));
+    let mut asking = discovery::Asking::new(settings.n_instances, config.seed);
+    let held = (!config.known.instances.is_empty())
+        .then(|| discovery::Held { generation: config.known.generation, ask_after: asking.first() });
+    let news_within = match &held {
+        _ if discovery.is_none() => Duration::ZERO,
+        Some(held) => held.news_within(),
+        None => FIRST_LIST,
+    };
     if let Some(discovery) = &discovery {
-        spawn_local(discovery::follow(host.clone(), discovery.clone(), core_in.clone()));
+        spawn_local(discovery::follow(host.clone(), discovery.clone(), held, asking, core_in.clone()));
     }
-    let may_be_old = discovery.is_some();
     let told = notices::Told {
         application: config.application.clone(),
         platform: discovery,
@@ -245,7 +254,7 @@
     let class = |c: &Class| server::Class { effect: c.effect, deadline: deadline(c) };
     let classes = settings.classes.iter().map(class).collect();
     let mut core = core::Core::new(host.clone(), config, journal, syncs, client, inbox, notices_in);
-    core.resume(known, may_be_old).await;
+    core.resume(known, news_within).await;
     let core = spawn_local(core.run());
 
     // Only now: a sender is used once it answers, and what the journal holds comes first.
