Share a limit by equal parts, and close connections only where they are short

At fault in rules.rs: the 0.3 of the smoothing, min(1.0) in share_now and at the growth, scarce_at at every failed connect.

Now a told limit that differs by more than three tenths counts at once; a share grows past 1.2 equal parts only where work waits for it, and comes back to them; a route may save two tokens; connections are short where an endpoint refuses one and serves within 3 s without doubt.

--- a/crates/nickelshed-policy/src/rules.rs
+++ b/crates/nickelshed-policy/src/rules.rs
@@ -41,12 +41,20 @@
 /// What is gone from the list is remembered for so long after its last failure.
 const KEEP: Ns = 60 * SECOND;
 
-/// For so long after a call got no connection its kind of endpoint is taken to be short of them.
+/// An endpoint that refuses a connection and serves within this is short of them, and not down; its kind is then
+/// taken to be so for as long as `SCARCE`.
+const SCARCE_SEEN: Ns = 3 * SECOND;
 const SCARCE: Ns = 60 * SECOND;
 
 /// What was told of a limit's use holds for so long; then the share used doubles each time.
 const STALE: Ns = 5 * SECOND;
 
+/// Equal parts of a limit that one sender may take at most.
+const PARTS: f64 = 1.2;
+
+/// A told limit that differs by more than this part from the one held is another limit, and no noise.
+const CHANGED: f64 = 0.3;
+
 /// Room left takes the share up by this power of the number of senders: as many answers lead from an equal
 /// share to all, however many there are.
 const RISE: f64 = 0.045;
@@ -79,10 +87,15 @@
 }
 
 impl Route {
-    /// The share that may be used: what is not told again grows back, as others' calls are not seen.
-    fn share_now(&self, now: Ns) -> f64 {
-        let stale = (now - self.share_at - STALE).max(0) as f64 / STALE as f64;
-        (self.share * stale.exp2()).min(1.0)
+    /// The share that may be used: what is not told again comes back to some equal parts, as others' calls are not
+    /// seen.
+    fn share_now(&self, now: Ns, parts: f64) -> f64 {
+        let stale = ((now - self.share_at - STALE).max(0) as f64 / STALE as f64).exp2();
+        if self.share > parts {
+            (self.share / stale).max(parts)
+        } else {
+            (self.share * stale).min(parts)
+        }
     }
 
     /// Calls a second that it was seen to serve this sender.
@@ -265,8 +278,8 @@
         }
         for entry in entries {
             let (dest, kind, zone) = (entry.dest, entry.kind, entry.zone);
-            let (used_at, served_at) = (LONG_AGO, LONG_AGO);
-            let new = Endpoint { used_at, served_at, gap: Ns::MAX, ..Endpoint::default() };
+            let (used_at, served_at, refused_at) = (LONG_AGO, LONG_AGO, LONG_AGO);
+            let new = Endpoint { used_at, served_at, refused_at, gap: Ns::MAX, ..Endpoint::default() };
             let known = self.endpoints.entry(entry.endpoint).or_insert(new);
             (known.dest, known.kind, known.zone) = (dest, kind, zone);
             known.usable = entry.condition == Condition::Ready;
@@ -466,14 +479,19 @@
         let now = self.now;
         let jitter = 0.5 + self.random();
         let n = self.cfg.n_instances.max(1) as f64;
-        let trial = self.trial();
+        let (trial, most) = (self.trial(), self.most_share());
+        let waits = self.dests.get(&route_id.0).is_some_and(|d| !d.held.is_empty());
         let Some(route) = self.routes.get_mut(&route_id) else { return };
         let Some(place) = self.endpoints.get_mut(&e.endpoint) else { return };
         let mut left = None;
         if let Some(report) = e.report {
             if report.limit.is_finite() && report.limit >= 0.0 {
+                // Reports are a little noisy, so they are smoothed; one that is far off tells of a limit that was
+                // changed, and a sender that meets the destination seldom can't wait for more of them.
                 route.limit = Some(match route.limit {
-                    Some(old) if old > 0.0 && report.limit > 0.0 => old + 0.3 * (report.limit - old),
+                    Some(old) if (report.limit - old).abs() < CHANGED * old => {
+                        old + 0.3 * (report.limit - old)
+                    }
                     _ => report.limit,
                 });
                 left = (report.limit > 0.0).then_some(report.left);
@@ -483,6 +501,10 @@
             Outcome::Served => {
                 place.served_at = now;
                 place.avoid_until = now;
+                // What is down refuses connections too, to all senders; few are short where it serves soon after.
+                if now - place.refused_at < SCARCE_SEEN && !route.doubt {
+                    self.scarce_at.insert(place.kind, now);
+                }
                 route.served.book(now, 1.0);
                 route.proved = route.proved_now(now).max(per_second(route.served.aged(now)));
                 route.proved_at = now;
@@ -498,9 +520,12 @@
                 }
                 route.doubt = false;
                 // The share follows what is left of the allowance: others' calls are not seen otherwise.
-                let share = route.share_now(now);
+                let share = route.share_now(now, most);
                 (route.share, route.share_at) = match left {
-                    Some(l) if l > 0.5 => ((share * n.powf(RISE)).min(1.0), now - STALE),
+                    Some(l) if l > 0.5 => {
+                        let top = if waits { 1.0 } else { share.max(most) };
+                        ((share * n.powf(RISE)).min(top), now - STALE)
+                    }
                     Some(l) if l < 0.2 => ((share * 0.95).max(0.7 / n), now),
                     _ => (share, now),
                 };
@@ -508,7 +533,7 @@
             }
             Outcome::TurnedAway => {
                 route.refusals += 1;
-                route.share = (route.share_now(now).min(1.0 / n) * 0.8).max(0.5 / n);
+                route.share = (route.share_now(now, most).min(1.0 / n) * 0.8).max(0.5 / n);
                 // The pause is no staleness: else all would grow back in it and use up the limit by asking.
                 let rate = route.limit.unwrap_or(route.hint) * route.share;
                 route.share_at = now + if rate > 0.0 { (1e9 / rate).min(30e9) as Ns } else { 0 };
@@ -519,8 +544,8 @@
                 left.map_or(e.wait >= SHUT_WAIT || route.refusals >= SHUT_RUN, |l| l > 0.4)
             }
             Outcome::NoConnection => {
-                self.scarce_at.insert(place.kind, now);
                 // If it answered another call meanwhile its connections are all taken, and it is not down.
+                place.refused_at = now;
                 place.avoid_until = now + SECOND;
                 place.served_at < now.saturating_sub(e.took.max(self.cfg.tick))
             }
@@ -585,6 +610,12 @@
         }
     }
 
+    /// The most of a limit that this sender takes: in a small fleet all of it, as the others may be idle, in a
+    /// large one some equal parts.
+    fn most_share(&self) -> f64 {
+        (PARTS / self.cfg.n_instances.max(1) as f64).min(1.0)
+    }
+
     /// The longest time from one trial to the next.
     fn trial(&self) -> Ns {
         SECOND * self.cfg.n_instances.max(3) as Ns
@@ -613,7 +644,7 @@
         if held_off > now {
             return held_off;
         }
-        let (ramp, trial) = (self.ramp(route), self.trial());
+        let (ramp, trial, most) = (self.ramp(route), self.trial(), self.most_share());
         let route = self.routes.get_mut(&id).expect("looked up above");
         // Its return may have come as long as a trial takes after the last failure that was seen.
         let warm = route.last_failure.saturating_add(self.cfg.cold + trial);
@@ -624,8 +655,8 @@
             return if route.in_flight > 0 { Ns::MAX } else { route.next_trial };
         }
         let limit = route.limit.unwrap_or(route.hint);
-        let mut rate = if limit > 0.0 { limit * route.share_now(now) } else { f64::INFINITY };
-        let mut burst = (0.4 * rate).clamp(1.0, 4.0);
+        let mut rate = if limit > 0.0 { limit * route.share_now(now, most) } else { f64::INFINITY };
+        let mut burst = (0.4 * rate).clamp(2.0, 4.0);
         if route.cold {
             (rate, burst) = (rate.min(ramp), 1.0);
         }
--- a/crates/nickelshed-policy/src/state.rs
+++ b/crates/nickelshed-policy/src/state.rs
@@ -60,6 +60,8 @@
     /// Most calls seen in flight since the last idle close: about the connections that are warm.
     pub warm: usize,
     pub served_at: Ns,
+    /// When it last took no connection.
+    pub refused_at: Ns,
     pub avoid_until: Ns,
 }
 
--- a/crates/nickelshed/src/core/outages.rs
+++ b/crates/nickelshed/src/core/outages.rs
@@ -62,6 +62,11 @@
         if all == self.keeper.last {
             return;
         }
+        for k in
+            all.iter().filter(|k| !self.keeper.last.iter().any(|l| (l.dest, l.doubt) == (k.dest, k.doubt)))
+        {
+            tracing::debug!(dest = k.dest, endpoint = k.endpoint, doubt = k.doubt, "out");
+        }
         // Without it the next process learns anew who is out, as one on a new machine does.
         match self.journal.keep_note(&written(&all)) {
             Ok(()) => self.keeper.last = all,
