--- a/crates/nickelshed-policy/src/rules.rs
+++ b/crates/nickelshed-policy/src/rules.rs
@@ -41,15 +41,15 @@
 /// What is gone from the list is remembered for so long after its last failure.
 const KEEP: Ns = 60 * SECOND;
 
-/// An endpoint that refuses a connection and serves within this is short of them, and not down; its kind is then
-/// taken to be so for as long as `SCARCE`.
+/// An endpoint that refuses a connection and serves within this is short of them, and not down; its kind is
+/// then taken to be so for as long as `SCARCE`.
 const SCARCE_SEEN: Ns = 3 * SECOND;
 const SCARCE: Ns = 60 * SECOND;
 
 /// What was told of a limit's use holds for so long; then the share used doubles each time.
 const STALE: Ns = 5 * SECOND;
 
-/// Equal parts of a limit that one sender may take at most.
+/// Equal parts of a limit that one sender may take while no work of its own waits for more.
 const PARTS: f64 = 1.2;
 
 /// A told limit that differs by more than this part from the one held is another limit, and no noise.
@@ -87,8 +87,8 @@
 }
 
 impl Route {
-    /// The share that may be used: what is not told again comes back to some equal parts, as others' calls are not
-    /// seen.
+    /// The share that may be used: what is not told again comes back to some equal parts, as others' calls are
+    /// not seen.
     fn share_now(&self, now: Ns, parts: f64) -> f64 {
         let stale = ((now - self.share_at - STALE).max(0) as f64 / STALE as f64).exp2();
         if self.share > parts {
@@ -486,8 +486,8 @@
         let mut left = None;
         if let Some(report) = e.report {
             if report.limit.is_finite() && report.limit >= 0.0 {
-                // Reports are a little noisy, so they are smoothed; one that is far off tells of a limit that was
-                // changed, and a sender that meets the destination seldom can't wait for more of them.
+                // Reports are a little noisy, so they are smoothed; one that is far off tells of a limit that
+                // was changed, and a sender that meets the destination seldom can't wait for more of them.
                 route.limit = Some(match route.limit {
                     Some(old) if (report.limit - old).abs() < CHANGED * old => {
                         old + 0.3 * (report.limit - old)
@@ -501,7 +501,7 @@
             Outcome::Served => {
                 place.served_at = now;
                 place.avoid_until = now;
-                // What is down refuses connections too, to all senders; few are short where it serves soon after.
+                // What is down refuses connections too; they are short where it serves soon after.
                 if now - place.refused_at < SCARCE_SEEN && !route.doubt {
                     self.scarce_at.insert(place.kind, now);
                 }
@@ -610,8 +610,8 @@
         }
     }
 
-    /// The most of a limit that this sender takes: in a small fleet all of it, as the others may be idle, in a
-    /// large one some equal parts.
+    /// As much of a limit as this sender takes unasked: in a small fleet nearly all of it, as the others may be
+    /// idle, in a large one about an equal part.
     fn most_share(&self) -> f64 {
         (PARTS / self.cfg.n_instances.max(1) as f64).min(1.0)
     }
