--- a/crates/nickelshed-policy/src/rules.rs
+++ b/crates/nickelshed-policy/src/rules.rs
@@ -87,8 +87,8 @@
 }
 
 impl Route {
-    /// The share that may be used: what is not told again comes back to some equal parts, as others' calls are
-    /// not seen.
+    /// The share that may be used: what is not told again comes back to about an equal part, as others' calls
+    /// are not seen.
     fn share_now(&self, now: Ns, parts: f64) -> f64 {
         let stale = ((now - self.share_at - STALE).max(0) as f64 / STALE as f64).exp2();
         if self.share > parts {
@@ -610,8 +610,7 @@
         }
     }
 
-    /// As much of a limit as this sender takes unasked: in a small fleet nearly all of it, as the others may be
-    /// idle, in a large one about an equal part.
+    /// As much of a limit as this sender takes unasked: about an equal part.
     fn most_share(&self) -> f64 {
         (PARTS / self.cfg.n_instances.max(1) as f64).min(1.0)
     }
