--- a/crates/nickelshed-policy/src/rules.rs
+++ b/crates/nickelshed-policy/src/rules.rs
@@ -50,7 +50,7 @@
 const STALE: Ns = 5 * SECOND;
 
 /// Equal parts of a limit that one sender may take while no work of its own waits for more.
-const PARTS: f64 = 1.2;
+const PARTS: f64 = 1.4;
 
 /// A told limit that differs by more than this part from the one held is another limit, and no noise.
 const CHANGED: f64 = 0.3;
@@ -655,7 +655,7 @@
         }
         let limit = route.limit.unwrap_or(route.hint);
         let mut rate = if limit > 0.0 { limit * route.share_now(now, most) } else { f64::INFINITY };
-        let mut burst = (0.4 * rate).clamp(2.0, 4.0);
+        let mut burst = (0.4 * rate).clamp(1.0, 4.0);
         if route.cold {
             (rate, burst) = (rate.min(ramp), 1.0);
         }
