Hold shares less in a small fleet, whose senders carry less even parts

Connections were ruled out by reading: with three senders at most, none is closed sooner than an idle one. At fault is most_share, which left 0.7 of a limit to each of two; before it each could have the whole.

Now 4/n parts more: all of it for two senders, 0.91 for three, 0.0144 in place of 0.014 for a hundred. Tests of the module and the lab pass.

--- a/crates/nickelshed-policy/src/rules.rs
+++ b/crates/nickelshed-policy/src/rules.rs
@@ -51,6 +51,8 @@
 
 /// Equal parts of a limit that one sender may take while no work of its own waits for more.
 const PARTS: f64 = 1.4;
+/// Fewer senders carry less even parts: so many parts more, divided by their number.
+const FEW: f64 = 4.0;
 
 /// A told limit that differs by more than this part from the one held is another limit, and no noise.
 const CHANGED: f64 = 0.3;
@@ -612,7 +614,8 @@
 
     /// As much of a limit as this sender takes unasked: about an equal part.
     fn most_share(&self) -> f64 {
-        (PARTS / self.cfg.n_instances.max(1) as f64).min(1.0)
+        let n = self.cfg.n_instances.max(1) as f64;
+        ((PARTS + FEW / n) / n).min(1.0)
     }
 
     /// The longest time from one trial to the next.
