Say once how many share a limit, and in one place how long a start waits for news

Read again as a whole, the change had the number of senders reckoned in four places of the module and the wait of a start decided in two: lib.rs chose it and resume.rs threw it away where it was too long. Now Sender::senders and discovery::news_within; the wiring decides nothing again.

--- a/crates/nickelshed-policy/src/rules.rs
+++ b/crates/nickelshed-policy/src/rules.rs
@@ -46,7 +46,8 @@
 const SCARCE_SEEN: Ns = 3 * SECOND;
 const SCARCE: Ns = 60 * SECOND;
 
-/// What was told of a limit's use holds for so long; then the share used doubles each time.
+/// What was told of a limit's use holds for so long; then the share used doubles each time, or halves, on its
+/// way back to about an equal part.
 const STALE: Ns = 5 * SECOND;
 
 /// Equal parts of a limit that one sender may take while no work of its own waits for more.
@@ -299,7 +300,7 @@
     }
 
     fn route(&mut self, id: RouteId) -> &mut Route {
-        let (share, now) = (1.0 / self.cfg.n_instances.max(1) as f64, self.now);
+        let (share, now) = (1.0 / self.senders(), self.now);
         let new = || Route { share, share_at: now, tokens: 1.0, filled_at: now, ..Route::default() };
         self.routes.entry(id).or_insert_with(new)
     }
@@ -480,7 +481,7 @@
     fn judge(&mut self, e: &AttemptEnd, route_id: RouteId, age: Ns, overdue: bool) {
         let now = self.now;
         let jitter = 0.5 + self.random();
-        let n = self.cfg.n_instances.max(1) as f64;
+        let n = self.senders();
         let (trial, most) = (self.trial(), self.most_share());
         let waits = self.dests.get(&route_id.0).is_some_and(|d| !d.held.is_empty());
         let Some(route) = self.routes.get_mut(&route_id) else { return };
@@ -546,9 +547,9 @@
                 left.map_or(e.wait >= SHUT_WAIT || route.refusals >= SHUT_RUN, |l| l > 0.4)
             }
             Outcome::NoConnection => {
-                // If it answered another call meanwhile its connections are all taken, and it is not down.
                 place.refused_at = now;
                 place.avoid_until = now + SECOND;
+                // If it answered another call meanwhile its connections are all taken, and it is not down.
                 place.served_at < now.saturating_sub(e.took.max(self.cfg.tick))
             }
             // The endpoint may have closed an idle connection: whether it is down a new one will tell. That
@@ -612,9 +613,14 @@
         }
     }
 
+    /// All that share a limit: this one, if the settings know of none.
+    fn senders(&self) -> f64 {
+        self.cfg.n_instances.max(1) as f64
+    }
+
     /// As much of a limit as this sender takes unasked: about an equal part.
     fn most_share(&self) -> f64 {
-        let n = self.cfg.n_instances.max(1) as f64;
+        let n = self.senders();
         ((PARTS + FEW / n) / n).min(1.0)
     }
 
@@ -628,7 +634,7 @@
     /// part is by what the route has served this sender: those of all add up to no more than it could do.
     fn ramp(&self, route: &Route) -> f64 {
         let c = &self.cfg;
-        let n = c.n_instances.max(1) as f64;
+        let n = self.senders();
         let told = route.limit.filter(|&l| l > 0.0).unwrap_or(route.hint);
         let part = if told > 0.0 { told / n } else { route.proved_now(self.now).max(1.0 / n) };
         let warm = ((self.now - route.last_failure) as f64 / c.cold.max(1) as f64).clamp(0.0, 1.0);
--- a/crates/nickelshed/src/core/resume.rs
+++ b/crates/nickelshed/src/core/resume.rs
@@ -2,13 +2,11 @@
 use super::*;
 
 impl<S: Storage, H: Host> Core<S, H> {
-    /// Takes up what the journal holds. Where `known` may be old, news of it is waited for as long as told; not where
-    /// that would hold up the start.
+    /// Takes up what the journal holds. Where `known` may be old, news of it is waited for as long as told.
     pub async fn resume(&mut self, known: List, news_within: Duration) {
         let mut events = vec![self.list(known, true)];
         let first = match news_within {
             Duration::ZERO => None,
-            wait if wait > crate::FIRST_LIST => None,
             wait => timeout(wait, self.inbox.recv()).await.ok().flatten(),
         };
         if let Some(Input::List(list)) = first {
--- a/crates/nickelshed/src/discovery.rs
+++ b/crates/nickelshed/src/discovery.rs
@@ -17,6 +17,8 @@
 /// and a watch begun in that time may never be answered.
 const WAIT: Duration = Duration::from_secs(5);
 const GRACE: Duration = Duration::from_millis(3_000);
+/// The longest that a start is held up by discovery.
+const LONGEST_START: Duration = Duration::from_millis(300);
 /// What is known already is answered within this.
 const AT_ONCE: Duration = Duration::from_millis(50);
 const MAX_LIST: usize = 1 << 20;
@@ -46,10 +48,14 @@
     pub ask_after: Duration,
 }
 
-impl Held {
-    /// How long after the start news of it would be here: nothing new is told at once, if at all.
-    pub fn news_within(&self) -> Duration {
-        self.ask_after + AT_ONCE
+/// How long a start waits for news of the list it holds, which is told at once if there is any, or for the first one.
+/// Nought where the news would come later than a start may be held up.
+pub fn news_within(held: Option<&Held>) -> Duration {
+    let wait = held.map_or(LONGEST_START, |held| held.ask_after + AT_ONCE);
+    if wait > LONGEST_START {
+        Duration::ZERO
+    } else {
+        wait
     }
 }
 
--- a/crates/nickelshed/src/lib.rs
+++ b/crates/nickelshed/src/lib.rs
@@ -41,8 +41,6 @@
 const END: Duration = Duration::from_millis(3_300);
 /// How long a sync that failed is left before the next.
 const SYNC_AGAIN: Duration = Duration::from_millis(200);
-/// How long a start waits for the first list, or for what has changed since the one it holds.
-const FIRST_LIST: Duration = Duration::from_millis(300);
 /// Inputs that wait for the core. Clients are told 503 beyond it.
 const INBOX: usize = 2_048;
 
@@ -228,12 +226,9 @@
     let mut asking = discovery::Asking::new(settings.n_instances, config.seed);
     let held = (!config.known.instances.is_empty())
         .then(|| discovery::Held { generation: config.known.generation, ask_after: asking.first() });
-    let news_within = match &held {
-        _ if discovery.is_none() => Duration::ZERO,
-        Some(held) => held.news_within(),
-        None => FIRST_LIST,
-    };
+    let mut news_within = Duration::ZERO;
     if let Some(discovery) = &discovery {
+        news_within = discovery::news_within(held.as_ref());
         spawn_local(discovery::follow(host.clone(), discovery.clone(), held, asking, core_in.clone()));
     }
     let told = notices::Told {
