Ask a sender's own agent at once at the start, however large the fleet

Ruled out: lists lost or spoilt, a list that came and was not heeded, restarts (the first comes after the first break).

At fault: Asking::first (discovery/asking.rs) spreads the first ask over 50 ms for each other sender, 15 s here, for the sake of a discovery that all share. Also at fault: the pause after a failure, up to 20 s, went on over a SIGHUP, while the new place counts after 4 s; and a watch's grace of 3 s ended after what it missed counted as told.

Change: nickelshed_settings::Lister says who is asked. An agent is asked at once, again within 0.45 s of a failure, and has 1 s beyond a watch; a change of place ends any pause. A shared discovery is asked as before.

--- a/crates/nickelshed-config/src/compile.rs
+++ b/crates/nickelshed-config/src/compile.rs
@@ -1,7 +1,7 @@
 //! The operator's file in the terms of the decision module. Only a file without errors comes this far.
 use crate::sidecar::{Class, Effect, Late, Scope, Sidecar};
 use nickelshed_policy::api;
-use nickelshed_settings::Around;
+use nickelshed_settings::{Around, Lister};
 use std::net::SocketAddr;
 
 /// An endpoint that a file names, in the terms of a list of endpoints.
@@ -84,6 +84,7 @@
         route_fee: fees,
     };
     let around = Around {
+        lister: Lister::Agent,
         x0: None,
         x1: None,
         classes: s.classes.iter().map(|c| c.name.clone()).collect(),
--- a/crates/nickelshed-settings/src/lib.rs
+++ b/crates/nickelshed-settings/src/lib.rs
@@ -64,9 +64,20 @@
     }
 }
 
+/// Who answers a sender that asks for the list of endpoints.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lister {
+    /// An agent of its own, at once and at no cost. What the agent has been sent counts as told to the sender.
+    Agent,
+    /// A discovery that all senders ask, and that each call costs work. A sender that has not asked counts as told
+    /// only much later.
+    Shared,
+}
+
 /// What a program needs besides the module's settings.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Around {
+    pub lister: Lister,
     /// Where x0 and x1 stand in a load report.
     pub x0: Option<usize>,
     pub x1: Option<usize>,
@@ -174,6 +185,10 @@
         route_fee: fees.iter().map(|f| f.number(0.0)).collect::<Result<Vec<_>, String>>()?,
     };
     let around = Around {
+        lister: match root.get("Discovery").word() {
+            Ok("subscribe") => Lister::Shared,
+            _ => Lister::Agent,
+        },
         x0: column("x0"),
         x1: column("x1"),
         classes: names(root.get("Services").list()?, Some("Name")),
--- a/crates/nickelshed/src/discovery.rs
+++ b/crates/nickelshed/src/discovery.rs
@@ -13,10 +13,9 @@
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
-/// How long a watch waits, and how much longer for its answer: the agent is silent while discovery is down,
-/// and a watch begun in that time may never be answered.
+/// How long a watch waits. The agent is silent while discovery is down, and a watch begun in that time may never be
+/// answered, so it is not long.
 const WAIT: Duration = Duration::from_secs(5);
-const GRACE: Duration = Duration::from_millis(3_000);
 /// The longest that a start is held up by discovery.
 const LONGEST_START: Duration = Duration::from_millis(300);
 /// What is known already is answered within this.
@@ -71,13 +70,22 @@
     let mut connection = None;
     let mut known = held.as_ref().map(|held| held.generation);
     let mut failing = false;
-    sleep(held.map_or(Duration::ZERO, |held| held.ask_after)).await;
+    let mut left_alone = held.map_or(Duration::ZERO, |held| held.ask_after);
     loop {
+        let pause = std::mem::take(&mut left_alone);
+        if !pause.is_zero() {
+            tokio::select! {
+                biased;
+                // Whoever is there now was not asked in vain.
+                Ok(()) = place.changed() => (connection, known) = (None, None),
+                () = sleep(pause) => {}
+            }
+        }
         let at = place.latest();
         let path = known.map_or("/v1/servers".to_string(), |generation| {
             format!("/v1/servers?index={generation}&wait={}", WAIT.as_millis())
         });
-        let allowed = if known.is_some() { WAIT + GRACE } else { GRACE };
+        let allowed = if known.is_some() { WAIT + asking.grace() } else { asking.grace() };
         let asked = tokio::select! {
             biased;
             Ok(()) = place.changed() => None,
@@ -100,14 +108,14 @@
                         return;
                     }
                 } else {
-                    sleep(asking.failed()).await;
+                    left_alone = asking.failed();
                 }
             }
             Some(Err(error)) => {
                 if !std::mem::replace(&mut failing, true) {
                     tracing::warn!(%error, "discovery fails; going on with the list held");
                 }
-                sleep(asking.failed()).await;
+                left_alone = asking.failed();
             }
         }
     }
--- a/crates/nickelshed/src/discovery/asking.rs
+++ b/crates/nickelshed/src/discovery/asking.rs
@@ -1,21 +1,31 @@
 //! When discovery is asked. No I/O: what became of an ask comes in, how long to leave discovery alone goes out.
 //!
-//! A discovery with more calls than it can answer turns some away, and those cost it as much as the others. One sender
-//! that asks on at once does no harm; a hundred keep it down for good. So the waits are drawn between nought and a
-//! ceiling that stands for the whole fleet: as many times `EACH` as there are senders, doubled with each failure in a
-//! row. A list that is held already need not be asked for in the moment of the start either, when all the others
-//! start too.
+//! A sender's own agent answers at once, and what it has been sent counts as told: it is asked in the moment of the
+//! start, and again soon after a failure, or the sender would go on by a list that it counts as knowing better than.
+//!
+//! A discovery that all share, with more calls than it can answer, turns some away, and those cost it as much as the
+//! others. One sender that asks on at once does no harm; a hundred keep it down for good. So the waits are drawn between
+//! nought and a ceiling that stands for the whole fleet: as many times `EACH` as there are senders, doubled with each
+//! failure in a row. A list that is held already need not be asked for in the moment of the start either, when all the
+//! others start too.
+use nickelshed_settings::Lister;
 use std::time::Duration;
 
-/// Of the time in which the whole fleet asks once, each sender's part.
+/// Of the time in which the whole fleet asks a shared discovery once, each sender's part.
 const EACH: Duration = Duration::from_millis(50);
-/// The least ceiling after a failure, and the highest.
+/// The least ceiling after a failure, and the highest by who is asked: an agent's news count as told within seconds.
 const LEAST: Duration = Duration::from_millis(100);
 const MOST: Duration = Duration::from_secs(20);
+const MOST_AGENT: Duration = Duration::from_millis(400);
+/// How long an answer may take beyond the wait that it was asked for. An agent's comes at once; a shared discovery
+/// keeps calls that it will turn away for two seconds.
+const GRACE: Duration = Duration::from_millis(3_000);
+const GRACE_AGENT: Duration = Duration::from_millis(1_000);
 
 /// What became of the last asks of one sender.
 #[derive(Debug)]
 pub struct Asking {
+    lister: Lister,
     /// The time in which the whole fleet asks once.
     round: Duration,
     /// In a row.
@@ -24,10 +34,13 @@
 }
 
 impl Asking {
-    pub fn new(senders: usize, seed: u64) -> Asking {
+    pub fn new(lister: Lister, senders: usize, seed: u64) -> Asking {
         let others = u32::try_from(senders.saturating_sub(1)).unwrap_or(u32::MAX);
-        let round = EACH.saturating_mul(others).min(MOST);
-        Asking { round, failures: 0, random: fastrand::Rng::with_seed(seed) }
+        let round = match lister {
+            Lister::Agent => Duration::ZERO,
+            Lister::Shared => EACH.saturating_mul(others).min(MOST),
+        };
+        Asking { lister, round, failures: 0, random: fastrand::Rng::with_seed(seed) }
     }
 
     /// How long after the start a sender that holds a list first asks what has changed since.
@@ -35,13 +48,25 @@
         self.round.mul_f64(self.random.f64())
     }
 
+    /// How much longer than it was asked to wait an answer may take before the ask has failed.
+    pub fn grace(&self) -> Duration {
+        match self.lister {
+            Lister::Agent => GRACE_AGENT,
+            Lister::Shared => GRACE,
+        }
+    }
+
     pub fn answered(&mut self) {
         self.failures = 0;
     }
 
     /// How long to leave discovery alone after an ask that failed.
     pub fn failed(&mut self) -> Duration {
-        let ceiling = self.round.max(LEAST).saturating_mul(1 << self.failures.min(16)).min(MOST);
+        let most = match self.lister {
+            Lister::Agent => MOST_AGENT,
+            Lister::Shared => MOST,
+        };
+        let ceiling = self.round.max(LEAST).saturating_mul(1 << self.failures.min(16)).min(most);
         self.failures = self.failures.saturating_add(1);
         // Never at once: an ask that fails in no time would be repeated as fast as the process can.
         LEAST / 2 + ceiling.mul_f64(self.random.f64())
@@ -85,7 +110,7 @@
     }
 
     fn fleet(senders: u64, seed: u64) -> (Option<u64>, u32) {
-        let each = (0..senders).map(|s| Asking::new(senders as usize, seed * 1_000 + s));
+        let each = (0..senders).map(|s| Asking::new(Lister::Shared, senders as usize, seed * 1_000 + s));
         let each: Vec<_> = each.map(std::cell::RefCell::new).collect();
         let micros = |d: Duration| d.as_micros() as u64;
         let asking = |s: u64| each[s as usize].borrow_mut();
@@ -112,11 +137,13 @@
 
     #[test]
     fn waits_are_spread_over_a_ceiling_that_doubles_and_has_an_end() {
-        let mut asking = Asking::new(100, 1);
+        let mut asking = Asking::new(Lister::Shared, 100, 1);
         for ceiling in [4_950, 9_900, 19_800, 20_000, 20_000] {
             let ceiling = LEAST / 2 + Duration::from_millis(ceiling);
             let waits: Vec<Duration> = (0..400)
-                .map(|seed| Asking { failures: asking.failures, ..Asking::new(100, seed) }.failed())
+                .map(|seed| {
+                    Asking { failures: asking.failures, ..Asking::new(Lister::Shared, 100, seed) }.failed()
+                })
                 .collect();
             assert!(waits.iter().all(|w| *w >= LEAST / 2 && *w <= ceiling));
             assert!(waits.iter().any(|w| *w < ceiling / 8) && waits.iter().any(|w| *w > ceiling * 7 / 8));
@@ -129,11 +156,39 @@
     #[test]
     fn any_number_of_senders_gives_waits_that_pass() {
         for senders in [0, 1, 2, 100_000, usize::MAX] {
-            let mut asking = Asking::new(senders, 7);
+            let mut asking = Asking::new(Lister::Shared, senders, 7);
             assert!(asking.first() <= MOST);
             let waits: Vec<Duration> = (0..100).map(|_| asking.failed()).collect();
             assert!(waits.iter().all(|w| *w >= LEAST / 2 && *w <= MOST + LEAST));
         }
-        assert_eq!(Asking::new(1, 7).first(), Duration::ZERO, "who is alone waits for nobody");
+        assert_eq!(
+            Asking::new(Lister::Shared, 1, 7).first(),
+            Duration::ZERO,
+            "who is alone waits for nobody"
+        );
+    }
+
+    /// What an agent has counts as told at the latest so long after it was sent, and for a watch so long after its
+    /// wait; then a drain has its grace of a second.
+    const TOLD: Duration = Duration::from_secs(6);
+    const TOLD_AFTER_WAIT: Duration = Duration::from_secs(2);
+
+    #[test]
+    fn an_agent_is_asked_at_once_however_many_senders_there_are_and_again_before_its_news_count() {
+        for senders in [0, 1, 2, 100, 300, 100_000, usize::MAX] {
+            let mut asking = Asking::new(Lister::Agent, senders, 7);
+            assert_eq!(asking.first(), Duration::ZERO);
+            for _ in 0..1_000 {
+                let pause = asking.failed();
+                assert!(pause >= LEAST / 2 && pause < Duration::from_millis(500));
+                // A watch that was lost, and the ask after it.
+                assert!(asking.grace() + pause < TOLD_AFTER_WAIT);
+                // Two whole lists that were lost, and the third.
+                assert!((asking.grace() + pause) * 3 < TOLD);
+            }
+            asking.answered();
+            // Soon enough for what changes meanwhile to belong to the same watch.
+            assert!(asking.failed() < Duration::from_millis(200));
+        }
     }
 }
--- a/crates/nickelshed/src/lib.rs
+++ b/crates/nickelshed/src/lib.rs
@@ -223,7 +223,7 @@
         Endpoints::Listed => (None, None),
     };
     spawn_local(reload(form.clone(), signals.hangups, place, core_in.clone()));
-    let mut asking = discovery::Asking::new(settings.n_instances, config.seed);
+    let mut asking = discovery::Asking::new(config.around.lister, settings.n_instances, config.seed);
     let held = (!config.known.instances.is_empty())
         .then(|| discovery::Held { generation: config.known.generation, ask_after: asking.first() });
     let mut news_within = Duration::ZERO;
