Play fleets of 300 senders in the lab, and count as told what an agent has

Change: up to 1,000 senders (addresses were one byte: stands.rs, agent_address and sender_address); World::tell and unmute note a change as told when the agent has it, 4 s after a move at the earliest; a process that starts again knows the list that its machine had last.

--- a/crates/nickelshed-lab/src/play.rs
+++ b/crates/nickelshed-lab/src/play.rs
@@ -109,6 +109,7 @@
     json!({"name": format!("n{sender}"), "seed": format!("{:x}", seed ^ (sender as u64) << 32),
         "discovery": agent_address(sender, home).to_string(),
         "limits": {"memory_mb": 64, "sockets": 1_024, "disk_mb": scenario.disk as f64 / 1e6},
+        // At each start of a process it is what its machine had last.
         "known": {"generation": 0, "reset": true, "instances": []},
         "settings": settings(scenario, lie, sender)})
     .to_string()
@@ -200,6 +201,7 @@
     for (sender, process) in processes.iter().enumerate() {
         let home = world.agents[sender].home.get() + 1;
         world.agents[sender].home.set(home);
+        world.agents[sender].moved.set(Some(world.now()));
         spawn_local(agent(world.clone(), sender, home));
         process.told.borrow_mut().config = config(&world.scenario, world.lie, sender, home, seed);
         let _ = process.control.send(Control::Hangup);
@@ -231,10 +233,7 @@
         Kind::Mute => {
             world.agents.iter().for_each(|a| a.mute.set(true));
             sleep_until(world.instant(trouble.to())).await;
-            for agent in &world.agents {
-                agent.mute.set(false);
-                agent.news.notify_waiters();
-            }
+            world.unmute();
         }
         Kind::Jump => world.net.jump((trouble.size * 1e3) as i64),
         Kind::Stall => world.lives.iter().for_each(|life| life.stall(world.instant(trouble.to()))),
@@ -305,6 +304,7 @@
         }
     }
     world.tell(&first);
+    world.agents.iter().for_each(|agent| agent.told.set(first.len()));
     let mut processes = Vec::new();
     for sender in 0..scenario.senders as usize {
         spawn_local(agent(world.clone(), sender, 0));
--- a/crates/nickelshed-lab/src/process.rs
+++ b/crates/nickelshed-lab/src/process.rs
@@ -8,6 +8,7 @@
 use nickelshed_journal::Storage;
 use nickelshed_judge::{Us, What};
 use nickelshed_testkit::Disk;
+use serde_json::Value;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::pin::Pin;
@@ -48,6 +49,7 @@
 ) {
     let mut disk = Disk::new();
     let life = world.lives[sender].clone();
+    let mut has_run = false;
     loop {
         disk.restart();
         life.begin();
@@ -68,6 +70,10 @@
             }),
             hangups,
         };
+        // The first process of a machine learns its first list from its agent.
+        if std::mem::replace(&mut has_run, true) {
+            know(&told, world.known(sender));
+        }
         let host = world.net.host(Some(life.clone()));
         let host = if world.lie == Some(Lie::LeavesCallsOpen) { host.leaking() } else { host };
         let (form, folder) =
@@ -138,6 +144,14 @@
     }
 }
 
+/// Writes the list that a process knows at its start into its configuration.
+fn know(told: &RefCell<Told>, known: Value) {
+    let config = &mut told.borrow_mut().config;
+    let mut value: Value = serde_json::from_str(config).expect("a configuration is JSON");
+    value["known"] = known;
+    *config = value.to_string();
+}
+
 /// Notes when a sender may be used.
 async fn healthy(world: Rc<World>, sender: usize, up: Rc<Cell<bool>>) {
     let host = world.net.host(None);
--- a/crates/nickelshed-lab/src/stands.rs
+++ b/crates/nickelshed-lab/src/stands.rs
@@ -10,7 +10,6 @@
 use nickelshed_model::{Arrival, Call, Happened, Mix, System};
 use serde_json::{json, Value};
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,7 +25,7 @@
 pub async fn open_endpoint(world: &Rc<World>, dest: u64, after: Option<&Place>) -> (usize, Place) {
     let number = world.next_endpoint.get();
     world.next_endpoint.set(number + 1);
-    let own = Ipv4Addr::new(127, 2, (number / 250) as u8, (number % 250) as u8 + 1);
+    let own = own(2, number);
     let address = after.map_or(SocketAddr::from((own, 5000)), |old| old.address);
     world.net.close(address);
     let room = after.map_or(world.scenario.room(number), |old| old.room);
@@ -203,8 +202,13 @@
     id.trim_start_matches('m').split('-').next().and_then(|n| n.parse().ok()).unwrap_or(u64::MAX)
 }
 
+/// The address of a sender's own in one of the loopback networks.
+fn own(network: u8, sender: usize) -> Ipv4Addr {
+    Ipv4Addr::new(127, network, (sender / 250) as u8, (sender % 250) as u8 + 1)
+}
+
 pub fn agent_address(sender: usize, home: u16) -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::new(127, 3, 0, sender as u8 + 1), 8500 + home))
+    SocketAddr::from((own(3, sender), 8500 + home))
 }
 
 /// Discovery's agent beside a sender, which also hears its notices. Ends when another one takes its place.
@@ -263,28 +267,20 @@
             () = sleep_until(until), if speaks => {}
         }
     }
-    let changes = agent.changes.borrow();
-    let generation = changes.len();
-    let from = index.filter(|i| *i as usize <= generation).unwrap_or(0) as usize;
-    // In a whole list only what an endpoint is now counts.
-    let mut last = BTreeMap::new();
-    for change in &changes[from..] {
-        let (endpoint, entry, open) = world.entry(*change);
-        last.insert(endpoint, (entry, open));
-    }
+    let generation = agent.changes.borrow().len();
     let whole = index.is_none();
-    if whole {
-        last.retain(|_, (entry, _)| entry["lifecycle"] != "Gone");
-    }
+    let from = index.filter(|i| *i as usize <= generation).unwrap_or(0) as usize;
+    let last = world.entries(sender, from..generation, whole);
     for (endpoint, (_, open)) in &last {
         world.note(What::Told { sender, endpoint: *endpoint, open: *open });
     }
+    agent.told.set(generation);
     let instances: Vec<Value> = last.into_values().map(|(entry, _)| entry).collect();
     Some(json!({"generation": generation, "reset": whole, "instances": instances}).to_string())
 }
 
 pub fn sender_address(sender: usize) -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::new(127, 1, 0, sender as u8 + 1), 5000))
+    SocketAddr::from((own(1, sender), 5000))
 }
 
 /// The clients of one sender, with the connections that they keep.
--- a/crates/nickelshed-lab/src/world.rs
+++ b/crates/nickelshed-lab/src/world.rs
@@ -11,11 +11,15 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+/// What an agent has to tell after it has moved counts as told this much later.
+const MOVED: Us = 4_000_000;
+
 /// An endpoint as the list names it.
 #[derive(Clone, Debug)]
 pub struct Place {
@@ -35,6 +39,10 @@
     pub mute: Cell<bool>,
     /// Where it answers; moved by a new configuration.
     pub home: Cell<u16>,
+    /// When it last moved: what it has to tell counts so much later.
+    pub moved: Cell<Option<Us>>,
+    /// The version that its sender was told last.
+    pub told: Cell<usize>,
 }
 
 /// A customer system with what its endpoints' connections need to know.
@@ -143,15 +151,67 @@
         list.len() - 1
     }
 
+    /// Sends changes to all agents. What an agent has counts as told to its sender, whether or not that asks.
     pub fn tell(&self, changes: &[usize]) {
-        for agent in &self.agents {
+        for (sender, agent) in self.agents.iter().enumerate() {
             agent.changes.borrow_mut().extend(changes);
+            if !agent.mute.get() {
+                self.count_as_told(sender, changes);
+            }
             agent.news.notify_waiters();
         }
     }
 
+    /// Discovery speaks again: what its agents were sent meanwhile is theirs to tell from now on.
+    pub fn unmute(&self) {
+        for (sender, agent) in self.agents.iter().enumerate() {
+            agent.mute.set(false);
+            let untold = agent.changes.borrow()[agent.told.get()..].to_vec();
+            self.count_as_told(sender, &untold);
+            agent.news.notify_waiters();
+        }
+    }
+
+    fn count_as_told(&self, sender: usize, changes: &[usize]) {
+        let moved = self.agents[sender].moved.get().map_or(0, |at| at + MOVED);
+        for &change in changes {
+            let (endpoint, open) = {
+                let list = self.list.borrow();
+                (list[change].0, list[change].1.lifecycle == "Ready")
+            };
+            self.note_at(self.now().max(moved), What::Told { sender, endpoint, open });
+        }
+    }
+
+    /// What endpoints are by a stretch of the versions that an agent has, with whether each takes new work. In a whole
+    /// list only what is there now counts.
+    pub fn entries(
+        &self,
+        sender: usize,
+        versions: Range<usize>,
+        whole: bool,
+    ) -> BTreeMap<usize, (Value, bool)> {
+        let mut last = BTreeMap::new();
+        for change in &self.agents[sender].changes.borrow()[versions] {
+            let (endpoint, entry, open) = self.entry(*change);
+            last.insert(endpoint, (entry, open));
+        }
+        if whole {
+            last.retain(|_, (entry, _)| entry["lifecycle"] != "Gone");
+        }
+        last
+    }
+
+    /// The list as a sender last had it, for its next process.
+    pub fn known(&self, sender: usize) -> Value {
+        let told = self.agents[sender].told.get();
+        let instances: Vec<Value> =
+            self.entries(sender, 0..told, true).into_values().map(|(e, _)| e).collect();
+        json!({"generation": told, "reset": true, "instances": instances})
+    }
+
     /// An entry of the list in discovery's form.
-    pub fn entry(&self, change: usize) -> (usize, Value, bool) {
+    fn entry(&self, change: usize) -> (usize, Value, bool) {
         let list = self.list.borrow();
         let (endpoint, place) = &list[change];
         let told = if self.lie == Some(Lie::IgnoresDrains) { "Ready" } else { place.lifecycle };
--- a/crates/nickelshed-model/src/scenario.rs
+++ b/crates/nickelshed-model/src/scenario.rs
@@ -286,7 +286,7 @@
                 .ok_or(format!("`{name}` is {n}, and goes from {least} to {most}"))
         };
         range("length", self.length.0.as_secs_f64(), 0.1, 3_600.0)?;
-        range("senders", self.senders.into(), 1.0, 16.0)?;
+        range("senders", self.senders.into(), 1.0, 1_000.0)?;
         range("rate", self.rate, 0.1, 10_000.0)?;
         range("clumps", self.clumps.0, 0.0, 1.0)?;
         range("spoilt", self.spoilt.0, 0.0, 1.0)?;
