Say what the lab's one function for addresses serves: senders and endpoints

Found on reading the change again: since one function gives the addresses of senders, agents and endpoints, but its comment and its argument named senders only.

--- a/crates/nickelshed-lab/src/stands.rs
+++ b/crates/nickelshed-lab/src/stands.rs
@@ -202,9 +202,9 @@
     id.trim_start_matches('m').split('-').next().and_then(|n| n.parse().ok()).unwrap_or(u64::MAX)
 }
 
-/// The address of a sender's own in one of the loopback networks.
-fn own(network: u8, sender: usize) -> Ipv4Addr {
-    Ipv4Addr::new(127, network, (sender / 250) as u8, (sender % 250) as u8 + 1)
+/// The address of the machine of this number, a sender's or an endpoint's, in one of the loopback networks.
+fn own(network: u8, number: usize) -> Ipv4Addr {
+    Ipv4Addr::new(127, network, (number / 250) as u8, (number % 250) as u8 + 1)
 }
 
 pub fn agent_address(sender: usize, home: u16) -> SocketAddr {
