Let a wait end with the process that was told it, for the judge

Its trace: SIGTERM reached the process at 10.481 s, the wait was told to it at 13.031 s while it wound up, the next process began its call at 14.361 s. Checked and ruled out: the sender's pulse and the stall (the wait was told 2.5 s after the disk was back), a call on its way. At fault: the judge (wait in rules.rs) let a wait end by a restart that began after it was told, and a restart begins with SIGTERM there; the protocol lets a restart end it. The other way round it passed over calls between SIGTERM and the end of a process that had been told before. Change: the lab notes when a process has ended, and the judge forgets then what that was told; SIGTERM alone ends nothing. Beside it: a process that is told to end and then killed opened two stretches in which nothing is overdue, and only the later one was closed when its sender was back; both are closed now. Tests: three histories more in the judge's, of which two fail on the rule as it was.

--- a/crates/nickelshed-judge/src/event.rs
+++ b/crates/nickelshed-judge/src/event.rs
@@ -124,6 +124,10 @@
     Going {
         sender: usize,
     },
+    /// Its process has ended, and what that was told with it.
+    Ended {
+        sender: usize,
+    },
     /// Its process stands still for so long.
     Stopped {
         sender: usize,
--- a/crates/nickelshed-judge/src/rules.rs
+++ b/crates/nickelshed-judge/src/rules.rs
@@ -251,9 +251,15 @@
                 self.stops.push((*sender, at, at + time));
                 self.restarts.entry(*sender).or_default().push((at, at + time + AFTER_START));
             }
+            What::Ended { sender } => {
+                for place in self.destinations.values_mut() {
+                    place.waits.remove(sender);
+                }
+            }
             What::Up { sender } => {
-                if let Some(last) = self.restarts.get_mut(sender).and_then(|r| r.last_mut()) {
-                    last.1 = last.1.min(at + AFTER_START);
+                // One that was told to end and is then killed has begun to go twice, and is back once.
+                for (_, to) in self.restarts.get_mut(sender).into_iter().flatten() {
+                    *to = (*to).min(at + AFTER_START);
                 }
             }
         }
@@ -285,9 +291,7 @@
         else {
             return;
         };
-        // A restart ends it.
-        let ended = self.restarts.get(&sender).is_some_and(|r| r.iter().any(|(from, _)| *from >= told));
-        if !ended && first_byte > told + ON_THE_WAY && first_byte + LEEWAY < until {
+        if first_byte > told + ON_THE_WAY && first_byte + LEEWAY < until {
             let early = (until - first_byte) / MS;
             let dest = named(place);
             let words =
--- a/crates/nickelshed-judge/tests/rules.rs
+++ b/crates/nickelshed-judge/tests/rules.rs
@@ -88,6 +88,10 @@
     let restart = || held().at(1_300, What::Going { sender: 0 }).at(3_000, What::Up { sender: 0 });
     assert_eq!(restart().notice(4_500, "a", true).rules(), []);
     assert_eq!(restart().notice(4_501, "a", true).rules(), [Rule::Lost]);
+    // One that is killed after it was told to end is going twice, and back once.
+    let twice = held().at(1_200, What::Going { sender: 0 }).at(1_300, What::Going { sender: 0 });
+    let twice = twice.at(3_000, What::Up { sender: 0 });
+    assert_eq!(twice.notice(4_501, "a", true).rules(), [Rule::Lost]);
     // Refused at the door, nothing is owed.
     let handed = What::HandedIn {
         sender: 0,
@@ -177,10 +181,20 @@
     assert_eq!(other(136).rules(), [Rule::Wait]);
     assert_eq!(other(1_984).rules(), [Rule::Wait]);
     assert_eq!(other(1_985).rules(), [], "50 ms before its end");
-    let restart = told().at(60, What::Going { sender: 0 }).at(70, What::Up { sender: 0 });
-    let after =
-        restart.call(500, 2, 4, "b").answered(505, 2, 200).call(2_500, 3, 3, "a").answered(2_510, 3, 200);
-    assert_eq!(after.rules(), [], "a restart ends it");
+    let after = |history: History| {
+        let again = history.call(500, 2, 4, "b").answered(505, 2, 200);
+        again.call(2_500, 3, 3, "a").answered(2_510, 3, 200).rules()
+    };
+    let ended = |history: History| history.at(60, What::Ended { sender: 0 }).at(70, What::Up { sender: 0 });
+    assert_eq!(after(ended(told())), [], "a restart ends it");
+    assert_eq!(after(told().at(60, What::Going { sender: 0 })), [Rule::Wait], "being told to end does not");
+    let told_late = History::new().at(5, What::Going { sender: 0 });
+    let told_late = History(told_late.0.into_iter().chain(told().0).collect());
+    assert_eq!(
+        after(ended(told_late)),
+        [],
+        "nor does it last beyond the process that was told to end before"
+    );
 }
 
 /// 10 a second, cold: a little over a quarter of it, times 1.5, for 2 s, and a slack of 4: some 12 messages.
--- a/crates/nickelshed-lab/src/process.rs
+++ b/crates/nickelshed-lab/src/process.rs
@@ -127,6 +127,7 @@
             }
         };
         drop(process);
+        world.note(What::Ended { sender });
         health.abort();
         up.set(false);
         if let Some(Err(error)) = &result {
--- a/crates/nickelshed-lab/src/report/series.rs
+++ b/crates/nickelshed-lab/src/report/series.rs
@@ -267,7 +267,7 @@
                 let what = format!("sender {sender} stands still");
                 self.series.stretches.push(Stretch { what, from: at, to: Some(at + time) });
             }
-            What::Unreached { .. } => {}
+            What::Unreached { .. } | What::Ended { .. } => {}
         }
     }
 
