Move the packages onto four floors: decide, serve, tools, proof

Need: the fleet's packages make more than twenty; their folder should show who may import whom before the first is added. With it go two small circles: Stat stands with the module's records, Level with the codes of findings.

--- a/crates/nickelshed-policy/src/rules.rs
+++ b/crates/decide/nickelshed-policy/src/rules.rs
@@ -62,15 +62,6 @@
 /// share to all, however many there are.
 const RISE: f64 = 0.045;
 
-/// Aged count, mean and deviation.
-#[derive(Clone, Copy, Default)]
-pub(crate) struct Stat {
-    weight: f64,
-    sum: f64,
-    squares: f64,
-    at: Ns,
-}
-
 impl Stat {
     fn aged(&self, now: Ns) -> f64 {
         self.weight * (-((now - self.at).max(0) as f64) / HALF_LIFE).exp2()
--- a/crates/nickelshed-policy/src/state.rs
+++ b/crates/decide/nickelshed-policy/src/state.rs
@@ -1,11 +1,19 @@
 //! What a sender remembers: plain records. Every decision and every tuned value is in `rules.rs`.
 
 use crate::api::*;
-use crate::rules::Stat;
 use std::collections::VecDeque;
 
 pub const LONG_AGO: Ns = Ns::MIN / 2;
 
+/// Aged count, mean and deviation.
+#[derive(Clone, Copy, Default)]
+pub struct Stat {
+    pub weight: f64,
+    pub sum: f64,
+    pub squares: f64,
+    pub at: Ns,
+}
+
 pub struct Attempt {
     pub endpoint: EndpointId,
     pub zone: usize,
--- a/crates/nickelshed-lab/tests/days.rs
+++ b/crates/proof/nickelshed-lab/tests/days.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 
 fn folder(name: &str) -> Vec<PathBuf> {
-    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../lab").join(name);
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../../lab").join(name);
     let files = std::fs::read_dir(folder)
         .map(|d| d.flatten().map(|f| f.path()).collect())
         .unwrap_or_else(|_| Vec::new());
@@ -105,7 +105,7 @@
 /// `nickelshed-lab kills lab/scenarios/kills.toml`.
 #[test]
 fn a_kill_in_any_operation_and_at_any_byte_breaks_no_rule() {
-    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../lab/scenarios/kills.toml");
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../../lab/scenarios/kills.toml");
     let scenario = files::read(&path).unwrap();
     let jobs = std::thread::available_parallelism().map_or(1, |n| n.get());
     let killed = kills(&scenario, 1, Every { operations: 2, bytes: 499 }, jobs).unwrap();
--- a/crates/nickelshed-config/src/check.rs
+++ b/crates/tools/nickelshed-config/src/check.rs
@@ -83,7 +83,7 @@
     fn allowed(&mut self, s: &Sidecar) {
         for (i, allowed) in s.allow.iter().enumerate() {
             match allowed.parse::<Code>() {
-                Ok(code) if code.level() == crate::finding::Level::Warning => {}
+                Ok(code) if code.level() == crate::code::Level::Warning => {}
                 Ok(_) => self.say(
                     Code::NotAllowed,
                     path!["allow", i],
--- a/crates/nickelshed-config/src/code.rs
+++ b/crates/tools/nickelshed-config/src/code.rs
@@ -1,8 +1,17 @@
 //! The codes of findings, each with what it means, why it matters and how it is mended.
-use crate::finding::Level;
+use serde::Serialize;
 use std::fmt;
 use std::str::FromStr;
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Level {
+    /// It works, and costs something that the operator should know.
+    Warning,
+    /// The sidecar does not start with it, or would break a promise.
+    Error,
+}
+
 /// What is told of a code.
 pub struct About {
     pub code: &'static str,
--- a/crates/nickelshed-config/src/finding.rs
+++ b/crates/tools/nickelshed-config/src/finding.rs
@@ -1,18 +1,8 @@
 //! What a check finds: a code, where, what is wrong, and how to mend it.
-use crate::code::Code;
-use serde::Serialize;
+use crate::code::{Code, Level};
 use std::fmt;
 use std::ops::Range;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Level {
-    /// It works, and costs something that the operator should know.
-    Warning,
-    /// The sidecar does not start with it, or would break a promise.
-    Error,
-}
-
 /// A place in a file, in bytes of its text.
 pub type Place = Range<usize>;
 
--- a/crates/nickelshed-config/src/lib.rs
+++ b/crates/tools/nickelshed-config/src/lib.rs
@@ -17,8 +17,8 @@
 pub mod url;
 pub mod write;
 
-pub use code::Code;
-pub use finding::{Finding, Level};
+pub use code::{Code, Level};
+pub use finding::Finding;
 pub use operator::Operator;
 pub use shape::Shape;
 pub use sidecar::Sidecar;
--- a/crates/nickelshed-config/src/operator.rs
+++ b/crates/tools/nickelshed-config/src/operator.rs
@@ -29,7 +29,7 @@
 
     #[test]
     fn the_example_is_the_default_and_a_misspelt_key_is_named() {
-        let example = Operator::load(include_bytes!("../../../deploy/operator.toml")).unwrap();
+        let example = Operator::load(include_bytes!("../../../../deploy/operator.toml")).unwrap();
         assert_eq!(example, Operator::default());
         let machine = Operator::load(b"[journal]\ndurability = \"machine\"").unwrap();
         assert_eq!(machine.journal.durability, Durability::Machine);
--- a/crates/nickelshed-config/src/reference.rs
+++ b/crates/tools/nickelshed-config/src/reference.rs
@@ -1,6 +1,6 @@
 //! The page that lists every key, made from the types.
 use crate::code::Code;
-use crate::finding::Level;
+use crate::code::Level;
 use crate::shape::{Key, Shape};
 use crate::sidecar::Sidecar;
 use std::fmt::Write;
--- a/crates/nickelshed-config/src/together.rs
+++ b/crates/tools/nickelshed-config/src/together.rs
@@ -95,7 +95,7 @@
         let mut clash =
             |code: Code, before: Option<&Member>, path: &[Step], what: &dyn Fn(&Member) -> String| {
                 let Some(before) =
-                    before.filter(|_| code.level() == crate::finding::Level::Error || !allows(s, code))
+                    before.filter(|_| code.level() == crate::code::Level::Error || !allows(s, code))
                 else {
                     return;
                 };
--- a/crates/nickelshed-config/tests/load.rs
+++ b/crates/tools/nickelshed-config/tests/load.rs
@@ -3,7 +3,7 @@
 use nickelshed_policy::api::Settings;
 use serde_json::json;
 
-const EXAMPLE: &str = include_str!("../../../deploy/sidecar.toml");
+const EXAMPLE: &str = include_str!("../../../../deploy/sidecar.toml");
 
 fn findings(text: &str) -> Vec<Finding> {
     load(text.as_bytes()).findings
--- a/crates/nickelshed-ctl/src/doctor.rs
+++ b/crates/tools/nickelshed-ctl/src/doctor.rs
@@ -157,7 +157,7 @@
     /// The example wants 3 MB of disk, 256 descriptors and 64 MB of memory.
     #[test]
     fn a_host_is_short_of_a_thing_by_one_and_not_by_none() {
-        let example = include_bytes!("../../../deploy/sidecar.toml");
+        let example = include_bytes!("../../../../deploy/sidecar.toml");
         let (sidecar, source) = nickelshed_config::load(example).file.unwrap();
         let codes = |disk, held, descriptors, memory| {
             let room = Room { disk: Some(disk), held, descriptors: Some(descriptors), memory: Some(memory) };
--- a/crates/nickelshed-ctl/tests/ctl.rs
+++ b/crates/tools/nickelshed-ctl/tests/ctl.rs
@@ -6,7 +6,7 @@
 use std::process::{Command, Output};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_nickelshed-ctl");
-const EXAMPLE: &str = include_str!("../../../deploy/sidecar.toml");
+const EXAMPLE: &str = include_str!("../../../../deploy/sidecar.toml");
 
 struct Scratch(PathBuf);
 
@@ -46,7 +46,7 @@
 }
 
 fn repository(path: &str) -> PathBuf {
-    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..").join(path)
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../..").join(path)
 }
 
 /// The two that the users name: their whole text is what an operator goes by.
--- a/crates/nickelshed-quickstart/src/main.rs
+++ b/crates/tools/nickelshed-quickstart/src/main.rs
@@ -16,7 +16,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-const EXAMPLE: &str = include_str!("../../../deploy/sidecar.toml");
+const EXAMPLE: &str = include_str!("../../../../deploy/sidecar.toml");
 /// How long the sidecar may take to start, and an alert to come to its end.
 const PATIENCE: Duration = Duration::from_secs(20);
 
