Keep a view of the fleet: members, suspicion, exchange and parts, played with their faults

Need: each sender takes the number of senders from its settings for ever; nobody can be asked who is there (the users' first wish). A first slice: the machine and its proof in virtual time. The sender does not use it yet, so nothing else changes. Change: nickelshed-fleet, without I/O: SWIM with Lifeguard's local health and suspicion, datagrams of 256 bytes under a keyed seal, news carried a bounded number of times, an exchange by marks of a tree, a budget of bytes, and parts of a limit by the view. nickelshed-rig plays scripts in virtual time and holds what members believe against what is so. Found by playing and mended: a question that the budget kept back counted as unanswered; parts taken up from one that is silent were taken up from the next one too; a member whose seeds are down was known to one other only.

--- /dev/null
+++ b/crates/decide/nickelshed-fleet/src/health.rs
@@ -0,0 +1,33 @@
+//! How far a member trusts its own ears: what it misses may be its own fault (Lifeguard, section IV.A, local health).
+use crate::Ns;
+
+/// The worst score. Each point makes a probe wait as much longer again.
+const WORST: u32 = 4;
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Health {
+    score: u32,
+}
+
+impl Health {
+    /// Somebody answered in time.
+    pub fn better(&mut self) {
+        self.score = self.score.saturating_sub(1);
+    }
+
+    /// Nobody answered, nor did any who was asked for help; or it had to refute that it is gone itself.
+    pub fn worse(&mut self, points: u32) {
+        self.score = (self.score + points).min(WORST);
+    }
+
+    /// How long to wait where one in full health waits so long.
+    #[must_use]
+    pub fn stretch(&self, time: Ns) -> Ns {
+        time * Ns::from(self.score + 1)
+    }
+
+    #[must_use]
+    pub fn score(&self) -> u32 {
+        self.score
+    }
+}
--- /dev/null
+++ b/crates/decide/nickelshed-fleet/src/random.rs
@@ -0,0 +1,37 @@
+//! Random numbers of one member, all from the seed that it is handed.
+use crate::Ns;
+
+#[derive(Clone, Debug)]
+pub struct Random(u64);
+
+impl Random {
+    #[must_use]
+    pub fn new(seed: u64) -> Random {
+        Random(seed)
+    }
+
+    /// splitmix64.
+    pub fn draw(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut x = self.0;
+        x = (x ^ x >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        x = (x ^ x >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
+        x ^ x >> 31
+    }
+
+    /// Below a bound; nought if that is not above nought.
+    pub fn below(&mut self, bound: Ns) -> Ns {
+        (self.draw() % bound.max(1) as u64) as Ns
+    }
+
+    pub fn shuffle<T>(&mut self, list: &mut [T]) {
+        for place in (1..list.len()).rev() {
+            let other = self.below(place as Ns + 1) as usize;
+            list.swap(place, other);
+        }
+    }
+
+    pub fn chance(&mut self, part: f64) -> bool {
+        ((self.draw() >> 11) as f64 / (1u64 << 53) as f64) < part
+    }
+}
