Show an operator who is in a fleet: nickelshed-ctl fleet members and watch

Need: an operator could only read the logs of every member to know who is there. Change: an observer without I/O in nickelshed-fleet, told a whole view in pieces of one datagram and counted nowhere; the tool asks the file's own member, then its seeds, then each present one for the mark of its view; ends with 0, 1 or 3. Result: an observer is told 60 members, one of them gone, and no view changes by it (test in nickelshed-fleet); with three processes the tool ends with 0, with 1 once one was killed, with 3 once all were.

--- a/crates/decide/nickelshed-fleet/src/fleet.rs
+++ b/crates/decide/nickelshed-fleet/src/fleet.rs
@@ -708,11 +708,17 @@
         let mut writer = self.writer(Kind::Ack);
         writer.seq(d.seq);
         writer.target(own);
-        let asker = d.from.map_or(Id::NOBODY, |c| c.id);
         if d.target == Id::NOBODY {
             writer.whole(&self.claim, &self.facts, 0);
         }
-        let writer = self.fill(writer, asker);
+        let writer = match d.from {
+            Some(asker) => self.fill(writer, asker.id),
+            // One that only observes takes no news from those that need it.
+            None => {
+                self.head(&mut writer, Id::NOBODY);
+                writer
+            }
+        };
         self.send(Some(from), writer, Weight::Answer, out);
     }
 
--- a/crates/decide/nickelshed-fleet/src/sync.rs
+++ b/crates/decide/nickelshed-fleet/src/sync.rs
@@ -61,7 +61,7 @@
         self.sync_at = self.now + ANYWAY / 2 + self.random.below(ANYWAY);
         let salt = self.random.draw() as u32;
         let mut writer = self.writer(Kind::Sync);
-        writer.marks(&self.view.marks(Part::default(), salt, &self.claim));
+        writer.marks(&self.view.marks(Part::default(), salt, Some(&self.claim)));
         self.send(to, writer, Weight::Spare, out);
     }
 
@@ -71,7 +71,7 @@
             answer.records.push((id, true));
         }
         for theirs in &d.marks {
-            let own = self.view.marks(theirs.part, theirs.salt, &self.claim);
+            let own = self.view.marks(theirs.part, theirs.salt, Some(&self.claim));
             // Another part first each time, as not all may fit into the answer.
             let first = self.random.below(CHILDREN as Ns) as usize;
             for child in (0..CHILDREN).map(|c| (c + first) % CHILDREN) {
@@ -110,7 +110,7 @@
             pages.add(self, |w| w.want(id));
         }
         for (part, salt) in answer.marks {
-            let marks = self.view.marks(part, salt, &own);
+            let marks = self.view.marks(part, salt, Some(&own));
             pages.add(self, |w| w.marks(&marks));
         }
         for part in answer.listed {
--- a/crates/decide/nickelshed-fleet/src/view.rs
+++ b/crates/decide/nickelshed-fleet/src/view.rs
@@ -100,12 +100,12 @@
         self.members.values().filter(move |m| m.is_told() && part.holds(m.claim.id))
     }
 
-    /// The marks of a part's children, with one claim more: the holder's own.
+    /// The marks of a part's children, with one claim more: the holder's own, if it is a member.
     #[must_use]
-    pub fn marks(&self, part: Part, salt: u32, own: &Claim) -> Marks {
+    pub fn marks(&self, part: Part, salt: u32, own: Option<&Claim>) -> Marks {
         let mut of = [0u32; CHILDREN];
         let claims = self.in_part(part).map(|m| &m.claim);
-        for claim in claims.chain(Some(own).filter(|c| part.holds(c.id))) {
+        for claim in claims.chain(own.filter(|c| part.holds(c.id))) {
             let mark = mark(claim, u64::from(salt) | 1 << 40);
             let child = &mut of[part.child_of(claim.id)];
             *child = child.wrapping_add((mark ^ mark >> 32) as u32);
--- a/crates/decide/nickelshed-fleet/tests/members.rs
+++ b/crates/decide/nickelshed-fleet/tests/members.rs
@@ -230,6 +230,49 @@
     assert_eq!((seen.facts.settings, seen.claim.incarnation.start), (10, 2));
 }
 
+/// Sends what an observer asks, and brings it the answers, until it is told all or has asked so often.
+fn observe(few: &mut Few, of: usize, most: usize) -> Observer {
+    let mut observer = Observer::new(Seal::new("prognozy", b"key"), 5);
+    for _ in 0..most {
+        let mut asks = observer.ask().to_vec();
+        while let Some(bytes) = asks.pop() {
+            let mut out = Vec::new();
+            few.members[of].handle(few.now, Input::Datagram { from: address(200), bytes: &bytes }, &mut out);
+            for output in out {
+                if let Output::Send { to, bytes } = output {
+                    if to == address(200) {
+                        asks.extend(observer.hear(&bytes).unwrap());
+                    }
+                }
+            }
+        }
+        if observer.is_complete() {
+            return observer;
+        }
+        few.run(SECOND);
+    }
+    observer
+}
+
+#[test]
+fn an_observer_is_told_a_whole_view_and_counts_nowhere() {
+    let mut few = Few::new((1..=60).map(|n| member(n, 1, &[1, 2], 0)).collect());
+    few.run(20 * SECOND);
+    few.cut = vec![7];
+    few.run(10 * SECOND);
+    let (before, root) = (few.members[0].present(), few.members[0].root());
+    let observer = observe(&mut few, 0, 30);
+    assert!(observer.is_complete());
+    assert_eq!(observer.root(), Some(root));
+    let told = observer.told();
+    assert_eq!(told.len(), 60);
+    let gone: Vec<&str> =
+        told.iter().filter(|t| t.claim.state == State::Gone).map(|t| t.facts.name.as_str()).collect();
+    assert_eq!(gone, ["n8"]);
+    few.run(3 * SECOND);
+    assert_eq!((few.members[0].present(), few.members[0].root()), (before, root));
+}
+
 #[test]
 fn a_flood_of_asks_is_answered_up_to_the_budget() {
     let mut few = three();
--- a/crates/proof/nickelshed-rig/src/relay.rs
+++ b/crates/proof/nickelshed-rig/src/relay.rs
@@ -110,8 +110,10 @@
         let mut buffer = [0; 2_048];
         while !self.ends.load(Ordering::Relaxed) {
             let Ok((length, source)) = self.fronts[to].recv_from(&mut buffer) else { continue };
-            // What is no member's comes as it is: floods of strangers reach members by their own address.
-            let Some(from) = self.members.iter().position(|m| *m == source) else { continue };
+            let Some(from) = self.members.iter().position(|m| *m == source) else {
+                self.carry_stranger(to, source, &buffer[..length]);
+                continue;
+            };
             let (cut, copies) = {
                 let faults = self.faults.lock().expect("no holder panics");
                 let number = self.passed.load(Ordering::Relaxed).wrapping_mul(61);
@@ -126,6 +128,25 @@
     }
 }
 
+impl Shared {
+    /// One that is no member asks: the answer goes back under the front that it asked.
+    fn carry_stranger(&self, to: usize, source: SocketAddr, bytes: &[u8]) {
+        let (Ok(front), Ok(own)) = (self.fronts[to].try_clone(), UdpSocket::bind("127.0.0.1:0")) else {
+            return;
+        };
+        let (member, bytes) = (self.members[to], bytes.to_vec());
+        std::thread::spawn(move || {
+            let _ = own.set_read_timeout(Some(Duration::from_millis(500)));
+            let _ = own.send_to(&bytes, member);
+            let mut buffer = [0; 2_048];
+            // An answer has some datagrams at most, and the thread ends with the last.
+            while let Ok((length, _)) = own.recv_from(&mut buffer) {
+                let _ = front.send_to(&buffer[..length], source);
+            }
+        });
+    }
+}
+
 impl Drop for Relay {
     fn drop(&mut self) {
         self.shared.ends.store(true, Ordering::Relaxed);
--- a/crates/serve/nickelshed/tests/members.rs
+++ b/crates/serve/nickelshed/tests/members.rs
@@ -102,6 +102,26 @@
     fleet.endpoint.wait_for("m", 1);
 }
 
+/// What an operator sees: all well, somebody gone, nobody there.
+#[test]
+fn the_tool_tells_who_is_there_who_is_gone_and_that_nobody_answers() {
+    let mut fleet = Fleet::new(3);
+    (0..3).for_each(|n| fleet.until_shared(n, 3));
+    let configs: Vec<_> = fleet.nodes.iter().map(|n| n.folder.join("sidecar.toml")).collect();
+    let look = |of: usize| {
+        nickelshed_ctl::call(["nickelshed-ctl", "fleet", "members", "--json", configs[of].to_str().unwrap()])
+    };
+    // Views that settle may differ for a moment, and the load of a machine may keep an answer back.
+    fleet.nodes[0].until("all is well", || look(0) == 0);
+    fleet.nodes[2].kill();
+    fleet.nodes[0].until("n2 is gone", || fleet.saw(0, 2, "gone") == 1 && fleet.saw(1, 2, "gone") == 1);
+    assert_eq!(look(0), 1, "one is gone");
+    assert_eq!(look(2), 1, "its own member is down, and its seed answers");
+    fleet.nodes[0].kill();
+    fleet.nodes[1].kill();
+    assert_eq!(look(0), 3, "nobody answers");
+}
+
 #[test]
 fn a_killed_member_keeps_its_part_and_is_back_under_a_later_life() {
     let mut fleet = Fleet::new(5);
--- a/crates/tools/nickelshed-ctl/src/lib.rs
+++ b/crates/tools/nickelshed-ctl/src/lib.rs
@@ -2,6 +2,7 @@
 //! packages can write and check files with it.
 mod doctor;
 mod files;
+mod members;
 mod new;
 mod report;
 
@@ -12,6 +13,7 @@
 use std::ffi::OsString;
 use std::io::Write;
 use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
 
 /// Writes, checks and explains the configuration of sidecars.
 ///
@@ -81,12 +83,40 @@
         #[arg(long, value_enum, default_value_t = Format::Text)]
         format: Format,
     },
+    /// Look at the fleet that a file's sidecar is a member of
+    #[command(subcommand)]
+    Fleet(Look),
     /// Print the page that lists every key
     Reference,
     /// Print a script that completes this program's arguments in a shell
     Completions { shell: clap_complete::Shell },
 }
 
+#[derive(Subcommand)]
+enum Look {
+    /// Who is there, since when, with which version and settings, by the view of one member
+    #[command(
+        after_help = "Ends with 0 if all present members hold one view with nobody suspect or gone in it, with 1 if not, with 2 if it
+was called wrongly, with 3 if no member answers. It asks the file's own member first, then its seeds, and counts nowhere."
+    )]
+    Members {
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Print the view each time it has changed
+    Watch {
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+        #[arg(long)]
+        json: bool,
+        /// End after so many seconds [default: when it is told to]
+        #[arg(long)]
+        seconds: Option<u64>,
+    },
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
 enum Format {
     Text,
@@ -97,6 +127,7 @@
 enum Done {
     Well,
     Found,
+    Code(u8),
 }
 
 /// A reader that leaves early is no mistake.
@@ -220,6 +251,26 @@
     verdict(&checked.findings, false)
 }
 
+/// Looks at a fleet once, or again and again until the time is over.
+fn fleet(path: &Path, json: bool, again: Option<Duration>) -> Result<Done, String> {
+    let Some(sidecar) = sidecar(path) else { return Ok(Done::Found) };
+    let folder = path.parent().unwrap_or(Path::new(""));
+    let (start, mut before) = (Instant::now(), None);
+    loop {
+        let look = members::look(&sidecar, folder)?;
+        // How long each has been there is no change.
+        let told = (look.stand, look.members.iter().map(|m| m.claim).collect::<Vec<_>>());
+        if before.as_ref() != Some(&told) {
+            before = Some(told);
+            print(&if json { format!("{}\n", look.json()) } else { look.text() });
+        }
+        if again.is_none_or(|time| start.elapsed() >= time) {
+            return Ok(Done::Code(look.code()));
+        }
+        std::thread::sleep(Duration::from_secs(1));
+    }
+}
+
 fn run(command: Command) -> Result<Done, String> {
     match command {
         Command::New(new) => match new.run()? {
@@ -242,6 +293,10 @@
         }
         Command::Fmt { files, check } => return tidy(&files, check),
         Command::Doctor { file, format } => return Ok(doctor(&file, format)),
+        Command::Fleet(Look::Members { file, json }) => return fleet(&file, json, None),
+        Command::Fleet(Look::Watch { file, json, seconds }) => {
+            return fleet(&file, json, Some(seconds.map_or(Duration::MAX, Duration::from_secs)))
+        }
         Command::Reference => print(&reference::page()),
         Command::Completions { shell } => {
             let mut command = Arguments::command();
@@ -265,6 +320,7 @@
     match run(command) {
         Ok(Done::Well) => 0,
         Ok(Done::Found) => 1,
+        Ok(Done::Code(code)) => code,
         Err(error) => {
             eprintln!("nickelshed-ctl: {error}");
             2
