Let a member never wait for its core, and say in one place what parts go by

Seen on reading the change again: a member told its core of a new number of senders by a send that waits for room. With a full inbox it would be late with its own answers, and take that for a standstill; it tries again at the next look now. And the rig and the sender's front put the same view together, each for itself: Fleet::seen serves both.

--- a/crates/decide/nickelshed-fleet/src/fleet.rs
+++ b/crates/decide/nickelshed-fleet/src/fleet.rs
@@ -4,6 +4,7 @@
 use crate::datagram::{read, Datagram, Dropped, Kind, News, Seal, Whole, Writer};
 use crate::health::Health;
 use crate::member::{mark, Claim, Facts, Id, Incarnation, State};
+use crate::parts::Seen;
 use crate::random::Random;
 use crate::rumours::Rumours;
 use crate::suspicion::Suspicion;
@@ -290,6 +291,23 @@
         lately.fold((0, 0), |(same, all), (_, s)| (same + usize::from(*s), all + 1))
     }
 
+    /// What parts are reckoned by.
+    #[must_use]
+    pub fn seen(&self) -> Seen {
+        let of = |wanted: fn(State) -> bool| -> Vec<Id> {
+            self.view.iter().filter(|m| wanted(m.claim.state)).map(|m| m.claim.id).collect()
+        };
+        let (same, heard) = self.agreement();
+        let alone = self.view.present() == 0;
+        Seen {
+            present: of(State::is_present),
+            gone: of(|s| s == State::Gone),
+            left: of(|s| s == State::Left),
+            doubts_itself: self.doubts_itself(),
+            settled: self.claim.state == State::Alive && (heard > 0 || alone) && 2 * same >= heard,
+        }
+    }
+
     /// Whether this member may doubt itself more than the others: it stood still, is told again and again that it is
     /// gone, or has had no answer.
     #[must_use]
--- a/crates/proof/nickelshed-rig/src/play.rs
+++ b/crates/proof/nickelshed-rig/src/play.rs
@@ -2,8 +2,8 @@
 //! stopped, killed and started again. The same script and seed give the same day.
 use crate::script::{Fault, Kind, Script};
 use crate::truth::Truth;
-use nickelshed_fleet::parts::{Parts, Seen};
-use nickelshed_fleet::{Change, Config, Counts, Facts, Fleet, Id, Input, Ns, Output, Random, Seal, State};
+use nickelshed_fleet::parts::Parts;
+use nickelshed_fleet::{Change, Config, Counts, Facts, Fleet, Input, Ns, Output, Random, Seal};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::SocketAddr;
@@ -485,18 +485,7 @@
         let (now, room) = (self.now, self.room);
         let m = &mut self.machines[number];
         let Some(fleet) = &m.fleet else { return };
-        let of = |wanted: fn(State) -> bool| {
-            fleet.members().filter(|m| wanted(m.claim.state)).map(|m| m.claim.id).collect::<Vec<Id>>()
-        };
-        let (same, heard) = fleet.agreement();
-        let seen_nobody = fleet.present() == 1;
-        let seen = Seen {
-            present: of(State::is_present),
-            gone: of(|s| s == State::Gone),
-            left: of(|s| s == State::Left),
-            doubts_itself: fleet.doubts_itself(),
-            settled: fleet.own().0.state == State::Alive && (heard > 0 || seen_nobody) && 2 * same >= heard,
-        };
+        let seen = fleet.seen();
         m.parts.room(now, room);
         m.parts.see(now, &seen);
         m.part = 1.0 / m.parts.senders();
--- a/crates/serve/nickelshed/src/fleet.rs
+++ b/crates/serve/nickelshed/src/fleet.rs
@@ -2,8 +2,8 @@
 //! view. What the view says of parts goes to the core as a number of senders.
 use crate::inbox::Input;
 use nickelshed_config::sidecar::Membership;
-use nickelshed_fleet::parts::{Parts, Seen};
-use nickelshed_fleet::{Config, Facts, Fleet, Id, Input as Told, Ns, Output, Seal, State, MOST};
+use nickelshed_fleet::parts::Parts;
+use nickelshed_fleet::{Config, Facts, Fleet, Input as Told, Ns, Output, Seal, MOST};
 use nickelshed_host::{Datagrams, Host};
 use std::cell::Cell;
 use std::io;
@@ -152,7 +152,7 @@
         began: Instant::now(),
         senders: told.planned,
     };
-    front.look().await;
+    front.look();
     let mut buffer = [0; MOST + 1];
     let mut look = Instant::now() + LOOK;
     loop {
@@ -160,7 +160,7 @@
         let came = tokio::select! {
             biased;
             _ = &mut end => {
-                front.tell(Told::Leave).await;
+                front.tell(Told::Leave);
                 return;
             }
             // Timers first: a process that stood still must know that before it reads what waited for it.
@@ -168,12 +168,12 @@
             came = front.socket.receive(&mut buffer) => came.ok(),
         };
         match came {
-            Some((length, from)) => front.tell(Told::Datagram { from, bytes: &buffer[..length] }).await,
-            None => front.tell(Told::Timer).await,
+            Some((length, from)) => front.tell(Told::Datagram { from, bytes: &buffer[..length] }),
+            None => front.tell(Told::Timer),
         }
         if Instant::now() >= look {
             look = Instant::now() + LOOK;
-            front.look().await;
+            front.look();
         }
     }
 }
@@ -188,7 +188,7 @@
         self.began + Duration::from_nanos(at.clamp(0, self.now() + 1_000_000_000) as u64)
     }
 
-    async fn tell(&mut self, input: Told<'_>) {
+    fn tell(&mut self, input: Told<'_>) {
         let mut out = Vec::new();
         self.fleet.handle(self.now(), input, &mut out);
         let mut changed = false;
@@ -227,35 +227,24 @@
             }
         }
         if changed {
-            self.look().await;
+            self.look();
         }
     }
 
     /// Tells the core by how many limits are divided, if that has changed.
-    async fn look(&mut self) {
+    fn look(&mut self) {
         let now = self.now();
         if let Some(left) = self.room.take() {
             self.parts.room(now, left);
         }
-        let of = |wanted: fn(State) -> bool| -> Vec<Id> {
-            self.fleet.members().filter(|m| wanted(m.claim.state)).map(|m| m.claim.id).collect()
-        };
-        let (same, heard) = self.fleet.agreement();
-        let joined = self.fleet.own().0.state == State::Alive;
-        let seen = Seen {
-            present: of(State::is_present),
-            gone: of(|s| s == State::Gone),
-            left: of(|s| s == State::Left),
-            doubts_itself: self.fleet.doubts_itself(),
-            settled: joined && (heard > 0 || self.fleet.present() == 1) && 2 * same >= heard,
-        };
+        let seen = self.fleet.seen();
         self.parts.see(now, &seen);
         // Rounded up: a part is never more than the view allows.
         let senders = (self.parts.senders() - 1e-9).ceil().max(1.0) as usize;
-        if senders != self.senders {
+        // Not waited for: a member that waits for its core is late with its own answers. The next look tries again.
+        if senders != self.senders && self.core.try_send(Input::Senders(senders)).is_ok() {
             self.senders = senders;
             tracing::info!(senders, present = self.fleet.present(), "each limit is shared among");
-            let _ = self.core.send(Input::Senders(senders)).await;
         }
     }
 }
