Test three guards of the view that could be undone unseen

Seen: of seventeen guards undone one by one in a copy, the tests caught fourteen. Change: a test face to face for each. Undone again, each fails on its own.

--- a/crates/decide/nickelshed-fleet/tests/members.rs
+++ b/crates/decide/nickelshed-fleet/tests/members.rs
@@ -31,11 +31,13 @@
     sent: Vec<(SocketAddr, SocketAddr, Vec<u8>)>,
     /// Nothing reaches these, and nothing they send counts.
     cut: Vec<usize>,
+    /// What the first sends the second is lost.
+    lost: Vec<(usize, usize)>,
 }
 
 impl Few {
     fn new(members: Vec<Fleet>) -> Few {
-        Few { now: 0, members, outputs: Vec::new(), sent: Vec::new(), cut: Vec::new() }
+        Few { now: 0, members, outputs: Vec::new(), sent: Vec::new(), cut: Vec::new(), lost: Vec::new() }
     }
 
     fn run(&mut self, time: Ns) {
@@ -59,7 +61,10 @@
             if let Output::Send { to, bytes } = output {
                 self.sent.push((to, own, bytes.clone()));
                 let there = self.members.iter().position(|m| m.own().1.address == to);
-                if let Some(there) = there.filter(|t| !self.cut.contains(t) && !self.cut.contains(&number)) {
+                let reaches = |t: &usize| {
+                    !self.cut.contains(t) && !self.cut.contains(&number) && !self.lost.contains(&(number, *t))
+                };
+                if let Some(there) = there.filter(reaches) {
                     self.tell(there, Some((own, &bytes)));
                 }
             } else {
@@ -124,6 +129,44 @@
     assert!(few.members[2].own().0.incarnation.word > 0, "it has refuted that it is gone");
 }
 
+/// It can't be told that it is doubted, and so says nothing of it; but it is heard.
+#[test]
+fn a_suspect_that_is_heard_is_not_taken_for_gone() {
+    let mut few = Few::new(vec![member(1, 1, &[2], 0), member(2, 1, &[1], 0)]);
+    few.run(5 * SECOND);
+    few.cut = vec![1];
+    few.run(SECOND);
+    assert_eq!(few.state(1, 0), Some(State::Suspect));
+    (few.cut, few.lost) = (Vec::new(), vec![(0, 1)]);
+    few.members[1].handle(few.now, Input::Timer, &mut Vec::new());
+    few.run(10 * SECOND);
+    assert_eq!(few.state(1, 0), Some(State::Suspect));
+    few.lost.clear();
+    few.run(3 * SECOND);
+    assert_eq!(few.state(1, 0), Some(State::Alive));
+}
+
+/// Its part may be in use on the other side of a cut, and it may be back where only the new one asks.
+#[test]
+fn one_that_joins_later_learns_of_those_that_are_gone() {
+    let mut few = three();
+    few.cut = vec![2];
+    few.run(8 * SECOND);
+    few.members.push(member(4, 1, &[1], few.now));
+    few.run(5 * SECOND);
+    assert_eq!(few.state(2, 3), Some(State::Gone));
+    assert!(!few.changes(3).contains(&Change::Gone), "it has seen nobody go");
+}
+
+/// Two that can't reach one another ask over the third.
+#[test]
+fn two_that_cannot_reach_one_another_are_not_even_suspect_while_another_reaches_both() {
+    let mut few = three();
+    few.lost = vec![(0, 1), (1, 0)];
+    few.run(20 * SECOND);
+    assert!((0..3).all(|by| !few.changes(by).contains(&Change::Suspected)));
+}
+
 #[test]
 fn what_was_sent_by_a_life_that_is_over_brings_nobody_back() {
     let mut few = three();
