--- a/crates/proof/nickelshed-rig/src/play.rs
+++ b/crates/proof/nickelshed-rig/src/play.rs
@@ -404,7 +404,7 @@
                 }
             }
         }
-        self.truth.cut(cut, all, self.now);
+        self.truth.cut(cut, self.now);
     }
 
     /// Three kinds of what is none of this fleet's, at two hundred a second.
--- a/crates/proof/nickelshed-rig/src/truth.rs
+++ b/crates/proof/nickelshed-rig/src/truth.rs
@@ -43,7 +43,7 @@
     }
 
     /// What one sends another is lost, for each of these pairs.
-    pub fn cut(&mut self, cut: BTreeSet<(usize, usize)>, _all: usize, now: Ns) {
+    pub fn cut(&mut self, cut: BTreeSet<(usize, usize)>, now: Ns) {
         if cut != self.cut {
             self.cut = cut;
             self.join(now);
