Drop state that the rig can derive, and three functions that nobody calls

Seen on reading the change again: the rig kept the set of faults that are on, and made it anew after every event, beside a function that tells it for one fault; Parts::holds_back, Fleet::ill_health and Health::score were promised and called by nobody. No behaviour of members changes; clippy and the tests of nickelshed-fleet and nickelshed-rig pass.

--- a/crates/decide/nickelshed-fleet/src/fleet.rs
+++ b/crates/decide/nickelshed-fleet/src/fleet.rs
@@ -318,12 +318,6 @@
         self.now < self.verdicts_at || unheard || unanswered || self.ousted
     }
 
-    /// How little it trusts its own ears: nought is full health.
-    #[must_use]
-    pub fn ill_health(&self) -> u32 {
-        self.health.score()
-    }
-
     #[must_use]
     pub fn is_ousted(&self) -> bool {
         self.ousted
--- a/crates/decide/nickelshed-fleet/src/health.rs
+++ b/crates/decide/nickelshed-fleet/src/health.rs
@@ -25,9 +25,4 @@
     pub fn stretch(&self, time: Ns) -> Ns {
         time * Ns::from(self.score + 1)
     }
-
-    #[must_use]
-    pub fn score(&self) -> u32 {
-        self.score
-    }
 }
--- a/crates/decide/nickelshed-fleet/src/parts.rs
+++ b/crates/decide/nickelshed-fleet/src/parts.rs
@@ -206,12 +206,6 @@
     pub fn is_beginning(&self) -> bool {
         self.begins.is_some()
     }
-
-    /// Whether some of the silent ones' parts are held for them.
-    #[must_use]
-    pub fn holds_back(&self) -> bool {
-        self.silent() as f64 - self.unseen() - self.taken > 0.05
-    }
 }
 
 #[cfg(test)]
--- a/crates/proof/nickelshed-rig/src/play.rs
+++ b/crates/proof/nickelshed-rig/src/play.rs
@@ -96,7 +96,6 @@
     next_what: usize,
     machines: Vec<Machine>,
     at: BTreeMap<SocketAddr, usize>,
-    active: BTreeSet<usize>,
     truth: Truth,
     day: Day,
     /// Since when something is not settled.
@@ -125,7 +124,6 @@
         next_what: 0,
         machines: Vec::new(),
         at: BTreeMap::new(),
-        active: BTreeSet::new(),
         truth: Truth::default(),
         day: Day::default(),
         unsettled: Some(0),
@@ -306,7 +304,6 @@
             }
             What::End(number) => {
                 let fault = &self.script.faults[number];
-                self.active.remove(&number);
                 self.over(fault);
                 self.unsettle();
             }
@@ -316,8 +313,6 @@
             }
             What::Flood(fault) => self.flood(fault),
         }
-        self.active =
-            (0..self.script.faults.len()).filter(|n| self.is_active(&self.script.faults[*n])).collect();
     }
 
     fn is_active(&self, fault: &Fault) -> bool {
@@ -496,8 +491,7 @@
         let Some(&receiver) = self.at.get(&to) else { return };
         let mut lost = self.script.lost.0;
         let mut by = 0;
-        for &number in &self.active {
-            let fault = &self.script.faults[number];
+        for fault in self.script.faults.iter().filter(|f| self.is_active(f)) {
             let meets = fault.who.0.contains(&from) || fault.who.0.contains(&receiver);
             match fault.kind {
                 Kind::Lossy if meets => lost = 1.0 - (1.0 - lost) * (1.0 - fault.part.0),
