--- a/crates/proof/nickelshed-judge/tests/rules.rs
+++ b/crates/proof/nickelshed-judge/tests/rules.rs
@@ -154,6 +154,17 @@
     // The second is begun, 5 ms before its last byte comes, when the first is over.
     assert_eq!(first().closed(45, 1).call(50, 2, 4, "a").answered(60, 2, 200).rules(), []);
     assert_eq!(first().call(50, 2, 4, "a").closed(55, 1).answered(60, 2, 200).rules(), [Rule::AtOnce]);
+    // One that was called off at 45 and came at 70, past an attempt that began at 55, was never out beside it; one that
+    // was called off at 60 was.
+    let late = |over: Us| {
+        let mut history =
+            delivered("b").call(60, 2, 4, "a").answered(80, 2, 200).closed(over, 3).call(70, 3, 5, "a");
+        if let Some(What::Call { first_byte, .. }) = history.0.last_mut().map(|e| &mut e.what) {
+            *first_byte = 40 * MS;
+        }
+        history.taken_on(10, "a", Effect::Keyed, 1_000).rules()
+    };
+    assert_eq!((late(45), late(60)), (vec![], vec![Rule::AtOnce]));
 }
 
 #[test]
--- a/crates/proof/nickelshed-lab/src/lib.rs
+++ b/crates/proof/nickelshed-lab/src/lib.rs
@@ -21,7 +21,7 @@
 mod world;
 
 pub use compare::{difference, Difference};
-pub use explore::{cut, explore, faults, Explored, Fault, Find};
+pub use explore::{cut, explore, faults, Draw, Explored, Fault, Find};
 pub use kills::{kills, Every, Killed};
 pub use lie::Lie;
 pub use life::{Cut, Done};
--- a/crates/proof/nickelshed-lab/src/wire.rs
+++ b/crates/proof/nickelshed-lab/src/wire.rs
@@ -1,6 +1,6 @@
 //! The machines of a day as its senders and stand-ins see them: over the simulated network, or over real sockets.
 use crate::life::Life;
-use crate::net::{Net, NoDatagrams, SimHost, SimListener, SimStream};
+use crate::net::{Net, NoDatagrams, Severed, SimHost, SimListener, SimStream};
 use crate::sockets::{Ports, SocketHost, SocketListener, SocketStream};
 use nickelshed_host::{Host, Listener, Machine, Stream};
 use std::io::{self, IoSlice};
@@ -37,6 +37,11 @@
         self.net.jump(ms);
     }
 
+    /// Has nothing arrive between some of them for a time. Only in simulated time: real sockets are left whole.
+    pub fn sever(&self, severed: Severed) {
+        self.net.sever(severed);
+    }
+
     /// Connections of senders that were refused: when, whose, and where to.
     pub fn refused(&self) -> Vec<(tokio::time::Instant, usize, SocketAddr)> {
         self.net.refused()
@@ -147,6 +152,14 @@
         }
     }
 
+    /// Whether nothing passes now.
+    pub fn is_severed(&self) -> bool {
+        match self {
+            Wire::Simulated(stream) => stream.is_severed(),
+            Wire::Real(_) => false,
+        }
+    }
+
     pub async fn read(&self, buffer: &mut [u8]) -> io::Result<usize> {
         match self {
             Wire::Simulated(stream) => stream.read(buffer).await,
--- a/crates/proof/nickelshed-lab/src/world.rs
+++ b/crates/proof/nickelshed-lab/src/world.rs
@@ -43,6 +43,8 @@
     pub moved: Cell<Option<Us>>,
     /// The version that its sender was told last.
     pub told: Cell<usize>,
+    /// The version up to which all counts as told to its sender.
+    counted: Cell<usize>,
 }
 
 /// A customer system with what its endpoints' connections need to know.
@@ -72,6 +74,8 @@
     /// Where each endpoint that ever was stands.
     pub rooms: RefCell<BTreeMap<usize, usize>>,
     pub next_call: Cell<u64>,
+    /// Until then clients have no patience.
+    pub impatient: Cell<Us>,
     /// Why a sender ended by itself.
     pub crashes: RefCell<Vec<String>>,
 }
@@ -106,6 +110,7 @@
             next_endpoint: Cell::new(0),
             rooms: RefCell::default(),
             next_call: Cell::new(0),
+            impatient: Cell::new(0),
             crashes: RefCell::default(),
         })
     }
@@ -126,6 +131,10 @@
         self.note_at(self.now(), what);
     }
 
+    pub fn is_impatient(&self) -> bool {
+        self.now() < self.impatient.get()
+    }
+
     pub fn last_event(&self) -> usize {
         self.events.borrow().len().saturating_sub(1)
     }
@@ -157,6 +166,7 @@
             agent.changes.borrow_mut().extend(changes);
             if !agent.mute.get() {
                 self.count_as_told(sender, changes);
+                agent.counted.set(agent.changes.borrow().len());
             }
             agent.news.notify_waiters();
         }
@@ -168,6 +178,7 @@
             agent.mute.set(false);
             let untold = agent.changes.borrow()[agent.told.get()..].to_vec();
             self.count_as_told(sender, &untold);
+            agent.counted.set(agent.changes.borrow().len());
             agent.news.notify_waiters();
         }
     }
@@ -202,9 +213,22 @@
         last
     }
 
-    /// The list as a sender last had it, for its next process.
+    /// Whether one of the two, a sender and an endpoint, stands in the first room and the other one does not.
+    pub fn are_apart(&self, sender: usize, to: SocketAddr) -> bool {
+        let here = self.scenario.room(sender) == 0;
+        self.list
+            .borrow()
+            .iter()
+            .rev()
+            .find(|(_, p)| p.address == to)
+            .is_some_and(|(_, p)| (p.room == 0) != here)
+    }
+
+    /// The list as a sender last had it, for its next process. While its agent says nothing it holds all that counts as
+    /// told: a process that was just ending when that came could not learn it from anybody.
     pub fn known(&self, sender: usize) -> Value {
-        let told = self.agents[sender].told.get();
+        let agent = &self.agents[sender];
+        let told = agent.told.get().max(if agent.mute.get() { agent.counted.get() } else { 0 });
         let instances: Vec<Value> =
             self.entries(sender, 0..told, true).into_values().map(|(e, _)| e).collect();
         json!({"generation": told, "reset": true, "instances": instances})
--- a/crates/proof/nickelshed-lab/tests/days.rs
+++ b/crates/proof/nickelshed-lab/tests/days.rs
@@ -79,6 +79,7 @@
         at: Period::ms(at),
         lasts: Period::ms(lasts),
         part: Percent(0.5),
+        senders: Percent(1.0),
         size: 2.0,
     };
     let scenario = Scenario {
@@ -130,6 +131,7 @@
             at: Period::ms(500),
             lasts: Period::ms(800),
             part: Percent(0.3),
+            senders: Percent(1.0),
             size: 1.0,
         }],
         ..Scenario::default()
@@ -161,6 +163,7 @@
         at: Period::ms(2_000),
         lasts: Period::ms(3_000),
         part: Percent(1.0),
+        senders: Percent(1.0),
         size: 2.0,
     };
     let scenario = Scenario {
--- a/crates/proof/nickelshed-model/src/lib.rs
+++ b/crates/proof/nickelshed-model/src/lib.rs
@@ -6,7 +6,7 @@
 mod system;
 mod traffic;
 
-pub use draw::draw;
+pub use draw::{draw, draw_large};
 pub use scenario::{Kind, Mix, Scenario, Trouble};
 pub use soonest::soonest;
 pub use system::{Call, Fate, Happened, System};
--- a/crates/proof/nickelshed-model/src/scenario.rs
+++ b/crates/proof/nickelshed-model/src/scenario.rs
@@ -150,12 +150,19 @@
     /// The part of the destinations that it meets, those with most traffic first; at least one.
     #[serde(default = "half")]
     pub part: Percent,
+    /// The part of the senders that it meets, spread evenly over them; at least one.
+    #[serde(default = "one_whole")]
+    pub senders: Percent,
     /// How much: of a burst the multiple of the rate, of slowness that of the service time, of a clock's jump the
-    /// seconds.
+    /// seconds, of a lowered limit what it is divided by, of loss every which call it meets.
     #[serde(default = "two")]
     pub size: f64,
 }
 
+fn one_whole() -> Percent {
+    Percent(1.0)
+}
+
 fn half() -> Percent {
     Percent(0.5)
 }
@@ -164,7 +171,7 @@
     2.0
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// Endpoints take calls and say nothing; nothing runs. They come back cold.
@@ -203,6 +210,18 @@
     Stall,
     /// Clients that send what can't be read, or half of it, or slowly: `size` connections each tenth of a second.
     Rude,
+    /// Senders are restarted a tenth at a time, evenly over `lasts`: SIGTERM, then SIGKILL, and every second tenth at once
+    /// SIGKILL.
+    Roll,
+    /// The first room is cut off: between its senders and the endpoints of other rooms, and between those senders and its
+    /// endpoints, nothing arrives before it is over. What was sent meanwhile comes then, as TCP sends it again.
+    Cut,
+    /// The destinations' limits are divided by `size`.
+    Lower,
+    /// Of the calls every `size`th is lost: its answer never comes, or its connection is reset before or after it ran.
+    Lossy,
+    /// Clients wait for a tenth of their time, and come again at once, whatever wait they were told.
+    Impatient,
 }
 
 impl Kind {
@@ -231,6 +250,11 @@
         use Kind::*;
         matches!(self, Silent | Hung | Refused | Reset | Shut | Errors)
     }
+
+    /// Whether it does something to customer systems, and is taken back from them at its end.
+    pub fn is_of_systems(self) -> bool {
+        self.is_outage() || matches!(self, Kind::Slow | Kind::Lower | Kind::Lossy)
+    }
 }
 
 impl Trouble {
@@ -246,6 +270,12 @@
     pub fn of(&self, destinations: u32) -> u32 {
         ((f64::from(destinations) * self.part.0).round() as u32).clamp(1, destinations.max(1))
     }
+
+    /// Whether it meets a sender of so many: every so-manieth, so that all rooms have their part.
+    pub fn meets(&self, sender: usize, senders: usize) -> bool {
+        let part = self.senders.0.max(1.0 / senders.max(1) as f64);
+        ((sender + 1) as f64 * part + 1e-9).floor() > (sender as f64 * part + 1e-9).floor()
+    }
 }
 
 impl Scenario {
@@ -310,6 +340,7 @@
         }
         for trouble in &self.troubles {
             range("part", trouble.part.0, 0.0, 1.0)?;
+            range("senders", trouble.senders.0, 0.0, 1.0)?;
             range("size", trouble.size, 0.0, 1_000.0)?;
         }
         Ok(())
--- a/crates/proof/nickelshed-model/src/soonest.rs
+++ b/crates/proof/nickelshed-model/src/soonest.rs
@@ -114,6 +114,7 @@
             at: Period::ms(2_000),
             lasts: Period::ms(6_000),
             part: Percent(1.0),
+            senders: Percent(1.0),
             size: 1.0,
         };
         let scenario = day(vec![trouble]);
