Let the word that closes an endpoint count in a list that contradicts itself

Bad input was gone through item by item. Two were not as users would expect: of two entries for one endpoint the last one counted (core.rs, list), so that one told as draining could get new work; and settings that name no sender kept it from starting (settings, n_instances), though the module copes with that.

An endpoint that any entry of an answer closes is closed; no sender counts as one. Lists that are cut off, too long, none, older, empty or mostly unreadable were as they should be and have tests now.

--- a/crates/decide/nickelshed-settings/src/lib.rs
+++ b/crates/decide/nickelshed-settings/src/lib.rs
@@ -158,7 +158,8 @@
         tenants,
         over_share_worth: root.get("OverShareWorth").number_or(0.0, 1.0)?,
         halves: family.get("Decay").word().unwrap_or("line") == "halves",
-        n_instances: root.get("NInstances").number(1.0)? as usize,
+        // None is no fleet without this one: it counts as alone.
+        n_instances: root.get("NInstances").number(0.0)?.max(1.0) as usize,
         zone: root.get("Zone").number_or(0.0, 0.0)? as usize,
         tick: root.get("TickNs").number(0.0)? as Ns,
         slots: family.get("CallsOut").number(0.0)? as usize,
--- a/crates/serve/nickelshed/src/core.rs
+++ b/crates/serve/nickelshed/src/core.rs
@@ -198,8 +198,10 @@
             self.endpoints.values_mut().for_each(|known| _ = known.closed.get_or_insert(now));
         }
         let mut entries = Vec::new();
+        let shut = list.shut();
         for instance in list.instances {
             let condition = match instance.lifecycle.as_str() {
+                "Ready" if shut.contains(&instance.name) => Condition::Draining,
                 "Ready" => Condition::Ready,
                 "Gone" => Condition::Gone,
                 // Also what is not known: it gets nothing new.
--- a/crates/serve/nickelshed/src/list.rs
+++ b/crates/serve/nickelshed/src/list.rs
@@ -2,6 +2,7 @@
 use nickelshed_journal::MAX_NAME;
 use serde::{Deserialize, Deserializer};
 use serde_json::Value;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 
 #[derive(Clone, Debug)]
@@ -26,6 +27,12 @@
 }
 
 impl List {
+    /// The names of what it says of somewhere that it takes nothing new. Of two words on one endpoint that one counts:
+    /// new work breaks a drain, and work that waits for the next list breaks nothing.
+    pub fn shut(&self) -> HashSet<String> {
+        self.instances.iter().filter(|i| i.lifecycle != "Ready").map(|i| i.name.clone()).collect()
+    }
+
     /// A list that is all there is.
     pub fn whole(instances: Vec<Instance>) -> List {
         List { generation: 0, reset: true, instances }
--- /dev/null
+++ b/crates/serve/nickelshed/tests/bad_input.rs
@@ -0,0 +1,134 @@
+//! What discovery and the settings say wrongly: the sender keeps the last list that made sense, and starts.
+use nickelshed_testkit::*;
+use serde_json::{json, Value};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_nickelshed");
+
+fn delivers(node: &Node, endpoint: &Peer, id: &str) {
+    assert_eq!(node.hand_in("order", id, 7, 16_000, b"x"), 202, "{id}");
+    assert_eq!(endpoint.wait_for(id, 1).len(), 1);
+}
+
+/// Has discovery answer every ask with these bytes, and waits until it has done so twice: what the first one said has
+/// been read by then, as the sender asks again only after it.
+fn misled(discovery: &Discovery, bytes: &str) {
+    let (count, text) = (Arc::new(AtomicUsize::new(0)), bytes.to_string());
+    let counted = count.clone();
+    discovery.peer.also(move |r| {
+        r.first.starts_with("GET ").then(|| {
+            counted.fetch_add(1, Ordering::SeqCst);
+            Reply::Bytes(text.clone())
+        })
+    });
+    discovery.peer.wait("it to ask twice", |_| count.load(Ordering::SeqCst) >= 2);
+}
+
+fn list(generation: u64, reset: bool, instances: Value) -> String {
+    let body = json!({"generation": generation, "reset": reset, "instances": instances}).to_string();
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+#[test]
+fn a_list_that_is_cut_off_too_long_or_none_leaves_the_one_held_in_force() {
+    let endpoint = Peer::new(|_| ok());
+    let entry = ready("e-1", endpoint.address, 7);
+    let whole = list(9, true, json!([closed(7)]));
+    let half =
+        format!("{}\r\nConnection: close\r\n\r\n{{\"generation\":9,\"reset\":true,\"inst", "HTTP/1.1 200 OK");
+    let bad = [
+        // Its length says more than comes: an answer that never ends, then the next one in its place.
+        whole.replace("Content-Length: ", "Content-Length: 9"),
+        half,
+        answer_of("{\"generation\":9,\"reset\":true,\"instances\":[{\"instanceId\":\"e-1\""),
+        answer_of("{\"generation\":-1,\"reset\":true,\"instances\":[]}"),
+        answer_of("{\"generation\":9,\"reset\":\"yes\",\"instances\":[]}"),
+        answer_of("[]"),
+        answer_of(""),
+        "HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n".to_string(),
+        answer_of(&format!("{{\"generation\":9,\"reset\":true,\"instances\":[{}]}}", " ".repeat(2 << 20))),
+    ];
+    for (number, bytes) in bad.iter().enumerate() {
+        let discovery = Discovery::new(json!([entry]));
+        let mut node = Node::start(PROGRAM, &discovery);
+        delivers(&node, &endpoint, &format!("before-{number}"));
+        misled(&discovery, bytes);
+        delivers(&node, &endpoint, &format!("after-{number}"));
+        assert!(node.is_running() && discovery.notices().is_empty());
+    }
+}
+
+fn answer_of(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// An agent that was set back tells an older version as a whole list: that is what there is.
+#[test]
+fn a_whole_list_counts_whatever_its_version_and_an_empty_one_is_one() {
+    let endpoint = Peer::new(|_| ok());
+    let discovery = Discovery::new(json!([ready("e-1", endpoint.address, 7)]));
+    let node = Node::start(PROGRAM, &discovery);
+    delivers(&node, &endpoint, "first");
+    misled(&discovery, &list(0, true, json!([])));
+    assert_eq!(node.hand_in("alert", "nowhere", 7, 500, b"x"), 202);
+    assert_eq!(discovery.wait_notice("nowhere")["outcome"], "handed_back");
+    misled(&discovery, &list(0, true, json!([ready("e-1", endpoint.address, 7)])));
+    delivers(&node, &endpoint, "again");
+    assert!(endpoint.seen().iter().all(|r| r.id() != "nowhere"));
+}
+
+/// Of two words on one endpoint the one that closes it counts, whichever comes first: new work at one that drains breaks
+/// its drain, and work that waits a moment breaks nothing.
+#[test]
+fn a_list_that_contradicts_itself_closes_what_it_contradicts() {
+    let (torn, other) = (Peer::new(|_| ok()), Peer::new(|_| ok()));
+    let says = |lifecycle| instance("e-1", torn.address, 7, "plain", lifecycle);
+    for order in [["Ready", "Terminating"], ["Terminating", "Ready"], ["Gone", "Ready"], ["Ready", "Gone"]] {
+        let discovery =
+            Discovery::new(json!([says(order[0]), ready("e-2", other.address, 7), says(order[1])]));
+        let node = Node::start(PROGRAM, &discovery);
+        for i in 0..6 {
+            delivers(&node, &other, &format!("{}-{}-{i}", order[0], order[1]));
+        }
+        assert!(torn.seen().is_empty(), "{order:?}");
+    }
+}
+
+/// Entries that can't be read cost only themselves, also among very many.
+#[test]
+fn of_a_list_of_thousands_what_can_be_read_counts() {
+    let endpoint = Peer::new(|_| ok());
+    let mut instances: Vec<Value> = (0..4_000u64)
+        .map(|i| match i % 4 {
+            0 => json!({"instanceId": format!("x-{i}"), "hostPort": "nowhere", "cell": 7, "lifecycle": "Ready"}),
+            1 => json!({"instanceId": i, "cell": "seven"}),
+            2 => json!(null),
+            _ => ready(&format!("x-{i}"), endpoint.address, i),
+        })
+        .collect();
+    instances.push(ready("e-1", endpoint.address, 7));
+    let discovery = Discovery::new(json!(instances));
+    let mut node = Node::start(PROGRAM, &discovery);
+    delivers(&node, &endpoint, "m");
+    assert!(node.is_running());
+}
+
+/// The number of senders may be none that makes sense: each starts, and delivers what its part of the limit then allows.
+#[test]
+fn settings_that_name_no_sender_or_very_many_start_and_deliver() {
+    for (senders, part) in [(json!(0), 40.0), (json!(1), 40.0), (json!(100_000), 0.0004)] {
+        let endpoint = Peer::new(|_| answer("200 OK", "Endpoint-Load-Metrics: TEXT x0=0.9, x1=40\r\n", ""));
+        let discovery = Discovery::new(json!([ready("e-1", endpoint.address, 7)]));
+        let change = |c: &mut Value| c["settings"]["NInstances"] = senders.clone();
+        let node = Node::with(PROGRAM, &discovery, json!([]), change);
+        delivers(&node, &endpoint, "first");
+        if part > 1.0 {
+            delivers(&node, &endpoint, "second");
+        } else {
+            // Its next one is due in most of an hour: the client hears in time that it does not go.
+            assert_eq!(node.hand_in("order", "second", 7, 500, b"x"), 202);
+            assert_eq!(discovery.wait_notice("second")["outcome"], "handed_back");
+        }
+    }
+}
