Count a call as overdue before it is called off, also between two looks

Traced: of four silent calls that one sender called off for their slots two were older than its patience but had not been looked at since (dispatch looks for slots in any round, notice_overdue only each tenth of a second), so they counted for nothing, the route was not in doubt and its return not ramped. Ruled out: the told limit, batches, the first list.

The look comes first.

--- a/crates/decide/nickelshed-policy/src/rules.rs
+++ b/crates/decide/nickelshed-policy/src/rules.rs
@@ -763,6 +763,8 @@
             look.push(dest);
         }
         if self.cfg.may_cancel && !sendable.is_empty() && !self.calls.values().any(|c| c.cancelled) {
+            // First, or a call that is called off before the period looks would tell nothing.
+            self.notice_overdue();
             self.free_a_slot(out);
         }
     }
