Let the platform's senders keep a view of one another where the settings allow notes

The view of the fleet was for sidecars only: on the platform the list of peers is a sender's own, so that an address means nothing to the others, and the front kept its start by itself in the file system, so that the lab could not play it.

Members speak of places in the list and each front translates at its socket (fleet/book.rs); without leave, or with a list that makes no fleet, no socket is opened. The lab's machines have datagrams, the key notes in a scenario, and large-notes.toml with a third killed and a room cut off.

--- a/crates/decide/nickelshed-fleet/src/parts.rs
+++ b/crates/decide/nickelshed-fleet/src/parts.rs
@@ -70,6 +70,9 @@
     most: usize,
     /// Since when it takes a small part, until it has settled.
     begins: Option<Ns>,
+    /// The settings name all there can be: whoever begins comes back to a part that the others have kept for it.
+    closed: bool,
+    began: Ns,
     /// How many of the silent ones' parts are taken up because answers told of room.
     taken: f64,
     stepped: Ns,
@@ -86,12 +89,22 @@
             others: BTreeMap::new(),
             most: 1,
             begins: Some(now),
+            closed: false,
+            began: now,
             taken: 0.0,
             stepped: now,
             room: None,
         }
     }
 
+    /// Of a fleet to which nobody can be added: `configured` are all there can be. One that begins has its whole part at once,
+    /// as it would without a view; only after it stood still for as long as silence takes to be sure does it begin small.
+    /// Until the others have seen it again, its part and what they took up of it may both be used.
+    #[must_use]
+    pub fn closed(configured: usize, now: Ns) -> Parts {
+        Parts { begins: None, closed: true, ..Parts::new(configured, now) }
+    }
+
     /// An answer told how much of a limit is left, 0 to 1; the least that is told within a step counts.
     pub fn room(&mut self, now: Ns, left: f64) {
         if !left.is_finite() {
@@ -106,6 +119,7 @@
 
     /// Takes the view as it is now. To be called when it changes, and once a second.
     pub fn see(&mut self, now: Ns, seen: &Seen) {
+        let stood_still = now - self.now >= SURE;
         self.now = self.now.max(now);
         let now = self.now;
         for stand in self.others.values_mut().filter(|s| **s == Stand::Present) {
@@ -125,7 +139,7 @@
             }
         }
         self.others.retain(|_, s| !matches!(s, Stand::Left(at) if now - *at > WINDING_UP));
-        if seen.doubts_itself {
+        if if self.closed { stood_still } else { seen.doubts_itself } {
             self.begins = Some(now);
         }
         if let Some(since) = self.begins {
@@ -151,7 +165,9 @@
     /// Those whose parts may be taken up.
     fn surely_silent(&self) -> usize {
         let silent = |s: &&Stand| matches!(s, Stand::Silent(at) if self.now - *at >= SURE);
-        self.never_met() + self.others.values().filter(silent).count()
+        // In a closed fleet they may only be slower to begin.
+        let never_met = if self.closed && self.now - self.began < SURE { 0 } else { self.never_met() };
+        never_met + self.others.values().filter(silent).count()
     }
 
     fn all(&self) -> f64 {
@@ -212,6 +228,28 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn in_a_closed_fleet_one_that_begins_has_its_part_and_one_that_stood_still_for_long_begins_small() {
+        let mut parts = Parts::closed(4, 0);
+        assert_eq!((parts.senders(), parts.is_beginning()), (4.0, false));
+        parts.see(SECOND, &seen(0..1));
+        assert_eq!(parts.senders(), 4.0, "others may be slower to begin");
+        parts.see(2 * SECOND, &seen(0..3));
+        assert_eq!(parts.senders(), 4.0);
+        parts.see(3 * SECOND, &Seen { doubts_itself: true, ..seen(0..3) });
+        assert_eq!(parts.senders(), 4.0, "the others have kept its part");
+        parts.see(13 * SECOND, &seen(0..3));
+        assert_eq!((parts.senders(), parts.is_beginning()), (4.0 / SMALL, true));
+        parts.see(19 * SECOND, &seen(0..3));
+        assert_eq!(parts.senders(), 4.0);
+        // What is silent keeps its part for as long as in any fleet.
+        parts.see(20 * SECOND, &seen(0..2));
+        parts.see(29 * SECOND, &seen(0..2));
+        assert_eq!(parts.senders(), 4.0);
+        parts.see(30 * SECOND, &seen(0..2));
+        assert!(parts.senders() < 4.0 && parts.senders() >= 3.6);
+    }
+
     fn seen(ids: std::ops::Range<u64>) -> Seen {
         Seen { present: ids.map(Id).collect(), settled: true, ..Seen::default() }
     }
--- a/crates/decide/nickelshed-settings/src/lib.rs
+++ b/crates/decide/nickelshed-settings/src/lib.rs
@@ -78,6 +78,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Around {
     pub lister: Lister,
+    /// Senders may send one another datagrams.
+    pub notes: bool,
     /// Where x0 and x1 stand in a load report.
     pub x0: Option<usize>,
     pub x1: Option<usize>,
@@ -190,6 +192,7 @@
             Ok("subscribe") => Lister::Shared,
             _ => Lister::Agent,
         },
+        notes: limits.get("Peers").value.as_bool().unwrap_or(false),
         x0: column("x0"),
         x1: column("x1"),
         classes: names(root.get("Services").list()?, Some("Name")),
--- a/crates/proof/nickelshed-lab/src/net.rs
+++ b/crates/proof/nickelshed-lab/src/net.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::{sleep, sleep_until, Instant, Sleep};
 
 /// Bytes that are under way in one direction at most.
@@ -35,6 +36,9 @@
     /// Connections of senders that were refused: when, whose, and where to.
     refused: RefCell<Vec<(Instant, usize, SocketAddr)>>,
     severed: RefCell<Option<Severed>>,
+    ports: RefCell<BTreeMap<SocketAddr, Rc<Port>>>,
+    /// Datagrams that were sent to somebody.
+    noted: Cell<u64>,
 }
 
 /// Between which senders and addresses nothing arrives, and until when.
@@ -71,9 +75,16 @@
             jumped: Cell::new(0),
             refused: RefCell::default(),
             severed: RefCell::default(),
+            ports: RefCell::default(),
+            noted: Cell::new(0),
         }))
     }
 
+    /// Datagrams that were sent to somebody.
+    pub fn noted(&self) -> u64 {
+        self.0.noted.get()
+    }
+
     /// From now on nothing arrives there. What was under way has come.
     pub fn sever(&self, severed: Severed) {
         self.0.severed.replace(Some(severed));
@@ -155,7 +166,7 @@
 impl Host for SimHost {
     type Stream = SimStream;
     type Listener = SimListener;
-    type Datagrams = NoDatagrams;
+    type Datagrams = SimDatagrams;
 
     async fn connect(&self, to: SocketAddr) -> io::Result<SimStream> {
         let far = is_far(to.ip());
@@ -197,8 +208,14 @@
         Ok(SimListener { net: self.net.clone(), life: self.life.clone(), at, queue })
     }
 
-    async fn datagrams(&self, _: SocketAddr) -> io::Result<NoDatagrams> {
-        Err(ErrorKind::Unsupported.into())
+    async fn datagrams(&self, at: SocketAddr) -> io::Result<SimDatagrams> {
+        let mut ports = self.net.0.ports.borrow_mut();
+        if ports.contains_key(&at) {
+            return Err(ErrorKind::AddrInUse.into());
+        }
+        let port = Rc::<Port>::default();
+        ports.insert(at, port.clone());
+        Ok(SimDatagrams { net: self.net.clone(), life: self.life.clone(), at, port })
     }
 
     fn monotonic(&self) -> Instant {
@@ -210,16 +227,63 @@
     }
 }
 
-/// The lab's machines have no datagrams between senders yet.
-pub enum NoDatagrams {}
+/// Datagrams that wait at a socket at most; more are lost.
+const WAITING: usize = 256;
+
+#[derive(Default)]
+struct Port {
+    waiting: RefCell<VecDeque<(Instant, SocketAddr, Vec<u8>)>>,
+    news: Notify,
+}
+
+pub struct SimDatagrams {
+    net: Net,
+    life: Option<Rc<Life>>,
+    at: SocketAddr,
+    port: Rc<Port>,
+}
+
+impl Datagrams for SimDatagrams {
+    fn send(&self, bytes: &[u8], to: SocketAddr) {
+        if let Some(life) = &self.life {
+            // One that has ended sends nothing, and what is cut off in the middle of it never leaves.
+            if life.send(bytes.len()) < bytes.len() || self.net.severed(life.sender, to).is_some() {
+                return;
+            }
+        }
+        let Some(port) = self.net.0.ports.borrow().get(&to).cloned() else { return };
+        let mut waiting = port.waiting.borrow_mut();
+        if waiting.len() < WAITING {
+            let sent = self.life.as_ref().map_or_else(Instant::now, |life| life.leaves());
+            waiting.push_back((sent + self.net.0.latency, self.at, bytes.to_vec()));
+            self.net.0.noted.set(self.net.0.noted.get() + 1);
+            port.news.notify_one();
+        }
+    }
 
-impl Datagrams for NoDatagrams {
-    fn send(&self, _: &[u8], _: SocketAddr) {
-        match *self {}
+    async fn receive(&self, buffer: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
+        loop {
+            let next = self.port.waiting.borrow().front().map(|(arrives, ..)| *arrives);
+            match next {
+                Some(at) if at <= Instant::now() => {
+                    let Some((_, from, bytes)) = self.port.waiting.borrow_mut().pop_front() else { continue };
+                    let length = bytes.len().min(buffer.len());
+                    buffer[..length].copy_from_slice(&bytes[..length]);
+                    return Ok((length, from));
+                }
+                Some(at) => sleep_until(at).await,
+                None => self.port.news.notified().await,
+            }
+        }
     }
+}
 
-    async fn receive(&self, _: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
-        match *self {}
+impl Drop for SimDatagrams {
+    fn drop(&mut self) {
+        let mut ports = self.net.0.ports.borrow_mut();
+        if ports.get(&self.at).is_some_and(|port| Rc::ptr_eq(port, &self.port)) {
+            ports.remove(&self.at);
+        }
     }
 }
 
--- a/crates/proof/nickelshed-lab/src/play.rs
+++ b/crates/proof/nickelshed-lab/src/play.rs
@@ -5,7 +5,7 @@
 use crate::net::Severed;
 use crate::process::{machine, Control, Process};
 use crate::rude;
-use crate::stands::{agent, agent_address, listen, open_endpoint, sender_address, Clients};
+use crate::stands::{agent, agent_address, listen, notes_address, open_endpoint, sender_address, Clients};
 use crate::world::{Place, World};
 use nickelshed::Told;
 use nickelshed_config::sidecar::{Effect, Scope};
@@ -43,6 +43,8 @@
     pub length: Duration,
     /// What each sender did on its disk and sent.
     pub done: Vec<Done>,
+    /// Notes between senders.
+    pub notes: u64,
 }
 
 impl Day {
@@ -99,7 +101,7 @@
         "Zone": s.room(sender), "Weights": if s.list_tells_rates { "rough" } else { "none" },
         "Feedback": {"Source": "piggyback", "Fields": ["x0", "x1"]},
         "FamilyInfo": {"CallsOut": s.slots, "Decay": "halves", "KindBatch": [s.batch], "SeparateRoutes": [s.routes_apart]},
-        "Limits": {"MaxOpen": s.held, "MaxAttempts": 8, "Cancel": true, "IdleCloseNs": 5_000_000_000u64,
+        "Limits": {"Peers": s.notes, "MaxOpen": s.held, "MaxAttempts": 8, "Cancel": true, "IdleCloseNs": 5_000_000_000u64,
             "DialTimeoutNs": 1_000_000_000, "MaxRetryAfterNs": 3_000_000_000u64},
         "Safety": {"StartCapacity": figures.start_capacity, "ColdNs": figures.cold * 1_000,
             "FallMultiple": multiple, "OverloadForNs": figures.fall_for * 1_000},
@@ -107,7 +109,12 @@
 }
 
 fn config(scenario: &Scenario, lie: Option<Lie>, sender: usize, home: u16, seed: u64) -> String {
-    json!({"name": format!("n{sender}"), "seed": format!("{:x}", seed ^ (sender as u64) << 32),
+    // Each has all of them in one order; without leave the list is not looked at.
+    let peers: Vec<String> = (0..scenario.senders as usize)
+        .filter(|_| scenario.notes)
+        .map(|s| notes_address(s).to_string())
+        .collect();
+    json!({"name": format!("n{sender}"), "peers": peers, "peer_listen": notes_address(sender).to_string(), "seed": format!("{:x}", seed ^ (sender as u64) << 32),
         "discovery": agent_address(sender, home).to_string(),
         "limits": {"memory_mb": 64, "sockets": 1_024, "disk_mb": scenario.disk as f64 / 1e6},
         // At each start of a process it is what its machine had last.
@@ -403,6 +410,7 @@
         crashes,
         length: world.net.start().elapsed(),
         done: world.lives.iter().map(|life| life.done()).collect(),
+        notes: world.net.noted(),
         events,
     }
 }
--- a/crates/proof/nickelshed-lab/src/stands.rs
+++ b/crates/proof/nickelshed-lab/src/stands.rs
@@ -10,7 +10,7 @@
 use nickelshed_model::{Arrival, Call, Happened, Mix, System};
 use serde_json::{json, Value};
 use std::cell::RefCell;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -282,6 +282,18 @@
     Some(json!({"generation": generation, "reset": whole, "instances": instances}).to_string())
 }
 
+/// Where a sender's notes to the others come in.
+pub fn notes_address(sender: usize) -> SocketAddr {
+    SocketAddr::from((own(4, sender), 7946))
+}
+
+/// The sender whose notes come in there.
+pub fn sender_of_notes(at: SocketAddr) -> Option<usize> {
+    let IpAddr::V4(ip) = at.ip() else { return None };
+    let [_, network, high, low] = ip.octets();
+    (network == 4).then(|| usize::from(high) * 250 + usize::from(low).saturating_sub(1))
+}
+
 pub fn sender_address(sender: usize) -> SocketAddr {
     SocketAddr::from((own(1, sender), 5000))
 }
--- a/crates/proof/nickelshed-lab/src/wire.rs
+++ b/crates/proof/nickelshed-lab/src/wire.rs
@@ -1,6 +1,6 @@
 //! The machines of a day as its senders and stand-ins see them: over the simulated network, or over real sockets.
 use crate::life::Life;
-use crate::net::{Net, NoDatagrams, Severed, SimHost, SimListener, SimStream};
+use crate::net::{Net, Severed, SimDatagrams, SimHost, SimListener, SimStream};
 use crate::sockets::{Ports, SocketHost, SocketListener, SocketStream};
 use nickelshed_host::{Host, Listener, Machine, Stream};
 use std::io::{self, IoSlice};
@@ -37,6 +37,11 @@
         self.net.jump(ms);
     }
 
+    /// Datagrams between senders that were sent to somebody.
+    pub fn noted(&self) -> u64 {
+        self.net.noted()
+    }
+
     /// Has nothing arrive between some of them for a time. Only in simulated time: real sockets are left whole.
     pub fn sever(&self, severed: Severed) {
         self.net.sever(severed);
@@ -79,7 +84,7 @@
 impl Host for LabHost {
     type Stream = Wire;
     type Listener = LabListener;
-    type Datagrams = NoDatagrams;
+    type Datagrams = SimDatagrams;
 
     async fn connect(&self, to: SocketAddr) -> io::Result<Wire> {
         match self {
@@ -95,8 +100,12 @@
         }
     }
 
-    async fn datagrams(&self, _: SocketAddr) -> io::Result<NoDatagrams> {
-        Err(io::ErrorKind::Unsupported.into())
+    /// Only in simulated time.
+    async fn datagrams(&self, at: SocketAddr) -> io::Result<SimDatagrams> {
+        match self {
+            LabHost::Simulated(host) => host.datagrams(at).await,
+            LabHost::Real(_) => Err(io::ErrorKind::Unsupported.into()),
+        }
     }
 
     fn monotonic(&self) -> tokio::time::Instant {
--- a/crates/proof/nickelshed-lab/src/world.rs
+++ b/crates/proof/nickelshed-lab/src/world.rs
@@ -3,6 +3,7 @@
 use crate::life::Life;
 use crate::manner::Manner;
 use crate::net::Net;
+use crate::stands::sender_of_notes;
 use crate::wire::Machines;
 use nickelshed_judge::{Event, How, Us, What};
 use nickelshed_model::{shares, stream, Random, Scenario, System};
@@ -213,15 +214,14 @@
         last
     }
 
-    /// Whether one of the two, a sender and an endpoint, stands in the first room and the other one does not.
+    /// Whether one of the two, a sender and an endpoint or another sender's notes, stands in the first room and the other one
+    /// does not.
     pub fn are_apart(&self, sender: usize, to: SocketAddr) -> bool {
-        let here = self.scenario.room(sender) == 0;
-        self.list
-            .borrow()
-            .iter()
-            .rev()
-            .find(|(_, p)| p.address == to)
-            .is_some_and(|(_, p)| (p.room == 0) != here)
+        let room = sender_of_notes(to).map(|other| self.scenario.room(other)).or_else(|| {
+            let list = self.list.borrow();
+            list.iter().rev().find(|(_, place)| place.address == to).map(|(_, place)| place.room)
+        });
+        room.is_some_and(|room| (room == 0) != (self.scenario.room(sender) == 0))
     }
 
     /// The list as a sender last had it, for its next process. While its agent says nothing it holds all that counts as
--- a/crates/proof/nickelshed-lab/tests/days.rs
+++ b/crates/proof/nickelshed-lab/tests/days.rs
@@ -61,6 +61,21 @@
     }
 }
 
+/// Three rooms of senders that keep a view of one another, one of which is cut off, a third of the rest killed: the same
+/// each time, and clean.
+#[test]
+fn senders_that_keep_a_view_of_one_another_break_no_rule_and_play_the_same_each_time() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../../lab/scenarios/large-notes.toml");
+    let scenario = files::read(&path).unwrap();
+    let alone = play(&Scenario { notes: false, ..scenario.clone() }, 1).unwrap();
+    let day = play(&scenario, 1).unwrap();
+    assert!(day.is_clean(), "{:?} {:?}", day.crashes, day.broken);
+    // Each probes another about once a second, for as long as it runs.
+    let least = u64::from(scenario.senders) * (day.length.as_secs() - 10);
+    assert!(alone.notes == 0 && day.notes > least, "{} notes", day.notes);
+    assert!(trace(&play(&scenario, 1).unwrap()) == trace(&day));
+}
+
 /// What explore has met once is met no more.
 #[test]
 fn every_find_is_mended() {
--- a/crates/proof/nickelshed-model/src/draw.rs
+++ b/crates/proof/nickelshed-model/src/draw.rs
@@ -200,5 +200,7 @@
         senders: Percent(between(random, 0.05, 1.0)),
         size: between(random, 1.3, 4.0),
     });
+    // Drawn last, so that a seed's day stays but for this.
+    scenario.notes = random.random::<f64>() < 0.3;
     scenario
 }
--- a/crates/proof/nickelshed-model/src/scenario.rs
+++ b/crates/proof/nickelshed-model/src/scenario.rs
@@ -71,6 +71,8 @@
     pub latency: Period,
     /// How late discovery's changes come.
     pub discovery_late: Period,
+    /// Senders may send one another notes, and so keep a view of who is there.
+    pub notes: bool,
     /// Classes that share the traffic. Without any there is one, by `effect`, `wanted_within` and `abandoned_after`.
     #[serde(rename = "class", skip_serializing_if = "Vec::is_empty")]
     pub classes: Vec<Mix>,
@@ -112,6 +114,7 @@
             spoilt: Percent(0.0),
             latency: Period::ms(10),
             discovery_late: Period::ms(500),
+            notes: false,
             classes: Vec::new(),
             troubles: Vec::new(),
         }
--- a/crates/serve/nickelshed-journal/src/journal.rs
+++ b/crates/serve/nickelshed-journal/src/journal.rs
@@ -147,6 +147,8 @@
 }
 
 /// Segments are this part of the room.
+/// Bytes of a file beside the journal at most.
+const BLOCK_BESIDE: u64 = 512;
 const SEGMENTS: u64 = 16;
 const LEAST_SEGMENT: u64 = 16 << 10;
 const MOST_SEGMENT: u64 = 1 << 20;
@@ -346,6 +348,27 @@
         Some(note::newest(&self.storage.read(NOTE, NOTE_SIZE).ok()?)?.1)
     }
 
+    /// Keeps a few bytes in a file of their own beside the journal, whole or not at all. Their room is for whoever opens the
+    /// journal to set aside: a block, and one more while the new file stands beside the old one.
+    ///
+    /// # Errors
+    /// If they can't be written; what was kept before is kept then.
+    pub fn keep_beside(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let new = format!("{name}.new");
+        match self.storage.remove(&new) {
+            Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
+            // Left by a process that ended between the two.
+            _ => {}
+        }
+        self.storage.write_all_at(&self.storage.create(&new)?, bytes, 0)?;
+        self.storage.rename(&new, name)
+    }
+
+    /// What was kept so, up to a block of it; None if nothing was, or it can't be read.
+    pub fn beside(&self, name: &str) -> Option<Vec<u8>> {
+        self.storage.read(name, BLOCK_BESIDE).ok()
+    }
+
     /// Whether new messages wait for room on the disk that other programs have taken.
     pub fn is_short(&self) -> bool {
         !self.ballast
--- a/crates/serve/nickelshed/src/config/platform.rs
+++ b/crates/serve/nickelshed/src/config/platform.rs
@@ -1,5 +1,6 @@
 //! The platform's form: the environment and config.json, read at the start, and the file once more on SIGHUP.
 use super::{Config, Endpoints, Fresh, Limits, Sink};
+use crate::fleet::{Fellowship, Notes};
 use crate::list::List;
 use nickelshed_config::Operator;
 use nickelshed_settings as settings;
@@ -9,6 +10,7 @@
 
 #[derive(Deserialize)]
 struct File {
+    name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
     seed: Option<Value>,
@@ -16,6 +18,19 @@
     #[serde(default)]
     known: List,
     settings: Value,
+    /// Where notes to the other senders go, and where theirs come; a strange form is no reason not to start.
+    #[serde(default)]
+    peers: Value,
+    #[serde(default)]
+    peer_listen: Value,
+}
+
+impl File {
+    fn notes(&self) -> Option<Notes> {
+        let address = |v: &Value| v.as_str()?.parse::<SocketAddr>().ok();
+        let peers = self.peers.as_array()?.iter().map(address).collect::<Option<Vec<_>>>()?;
+        Some(Notes { peers, listen: address(&self.peer_listen)? })
+    }
 }
 
 /// What the platform tells a process, from wherever it is read.
@@ -59,20 +74,28 @@
         let file = self.file()?;
         let settings = settings::read(&file.settings);
         let (settings, around) = settings.map_err(|e| format!("{}: settings: {e}", self.name))?;
+        let state: std::path::PathBuf = self.state.as_ref().ok_or("EDGE_STATE is not set")?.into();
+        let number = file.seed.as_ref().map_or(0, seed);
+        let member = |notes| {
+            let site = around.zones.get(settings.zone).map_or("", String::as_str);
+            let digest = crc32fast::hash(file.settings.to_string().as_bytes());
+            let name = file.name.as_deref()?;
+            Fellowship::on_platform(name, site, notes, number, settings.n_instances, digest)
+        };
+        let fleet = file.notes().filter(|_| around.notes).and_then(member);
         Ok(Config {
+            fleet,
             application: None,
             listen: address("EDGE_LISTEN", self.listen.clone(), file.listen)?,
             endpoints: Endpoints::Discovery(self.discovery(file.discovery)?),
             notices: vec![Sink::Platform],
-            state: self.state.as_ref().ok_or("EDGE_STATE is not set")?.into(),
-            seed: file.seed.as_ref().map_or(0, seed),
+            state,
+            seed: number,
             limits: file.limits,
             durability: operator.journal.durability,
             known: file.known,
             settings,
             around,
-            // Notes between senders are for sidecars so far.
-            fleet: None,
         })
     }
 }
--- a/crates/serve/nickelshed/src/config/sidecar.rs
+++ b/crates/serve/nickelshed/src/config/sidecar.rs
@@ -63,7 +63,7 @@
     let digest = crc32fast::hash(format!("{settings:?}").as_bytes());
     let member = |m| {
         let (application, planned) = (&sidecar.application, settings.n_instances);
-        crate::fleet::Fellowship::read(m, application, folder, &state, seed, planned, digest)
+        crate::fleet::Fellowship::read(m, application, folder, seed, planned, digest)
     };
     let fleet = sidecar.fleet.as_ref().map(member).transpose()?;
     Ok(Config {
--- a/crates/serve/nickelshed/src/core.rs
+++ b/crates/serve/nickelshed/src/core.rs
@@ -283,6 +283,12 @@
                     self.carry_out_kept();
                 }
                 Input::Senders(senders) => round.events.push(Event::Senders(senders)),
+                Input::Start(start) => {
+                    let kept = self.journal.keep_beside(crate::fleet::START, format!("{start}\n").as_bytes());
+                    if let Err(error) = kept {
+                        tracing::warn!(start, %error, "cannot keep the start; others may hold an earlier life for this one");
+                    }
+                }
                 Input::Wind(until) => self.wind = Some(until),
             }
         }
--- a/crates/serve/nickelshed/src/fleet.rs
+++ b/crates/serve/nickelshed/src/fleet.rs
@@ -1,13 +1,16 @@
 //! The front towards the other members of the fleet: its socket, its clock and its file, around the machine that keeps the
 //! view. What the view says of parts goes to the core as a number of senders.
+mod book;
+
 use crate::inbox::Input;
+use book::Book;
 use nickelshed_config::sidecar::Membership;
 use nickelshed_fleet::parts::Parts;
 use nickelshed_fleet::{Config, Facts, Fleet, Input as Told, Ns, Output, Seal, MOST};
 use nickelshed_host::{Datagrams, Host};
 use std::cell::Cell;
-use std::io;
-use std::path::{Path, PathBuf};
+use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -18,7 +21,7 @@
 /// How often parts are looked at without a change in the view.
 const LOOK: Duration = Duration::from_secs(1);
 /// The file in the state folder that holds the last start.
-const START: &str = "fleet-start";
+pub const START: &str = "fleet-start";
 
 /// How much answers left of a limit, the least of late.
 #[derive(Default)]
@@ -39,28 +42,21 @@
 /// What a member is told of its fleet.
 pub struct Fellowship {
     facts: Facts,
-    seeds: Vec<std::net::SocketAddr>,
-    listen: std::net::SocketAddr,
+    seeds: Vec<SocketAddr>,
+    listen: SocketAddr,
+    book: Book,
     seal: Seal,
-    start_file: PathBuf,
-    start: u32,
+    /// Of this process, counted over all of its member; it has to be given before it runs.
+    pub start: u32,
     seed: u64,
     /// How many senders the settings name.
     planned: usize,
 }
 
-/// The start after the one that the file holds. One that can't be read counts as none: others that remember a later one
-/// say so.
-fn next_start(path: &Path) -> u32 {
-    let held = std::fs::read_to_string(path).ok().and_then(|t| t.trim().parse::<u32>().ok());
-    held.unwrap_or(0).saturating_add(1)
-}
-
-/// Kept whole or not at all.
-fn keep_start(path: &Path, start: u32) -> io::Result<()> {
-    let beside = path.with_extension("new");
-    std::fs::write(&beside, format!("{start}\n"))?;
-    std::fs::rename(&beside, path)
+/// The start after the one that was kept. One that can't be read counts as none: others that remember a later one say so.
+pub fn start_after(kept: Option<Vec<u8>>) -> u32 {
+    let text = kept.and_then(|bytes| String::from_utf8(bytes).ok());
+    text.and_then(|t| t.trim().parse::<u32>().ok()).unwrap_or(0).saturating_add(1)
 }
 
 fn version() -> [u16; 3] {
@@ -75,7 +71,6 @@
         membership: &Membership,
         application: &str,
         folder: &Path,
-        state: &Path,
         seed: u64,
         planned: usize,
         settings: u32,
@@ -88,7 +83,6 @@
                     .map_err(|e| format!("cannot read the fleet's key {}: {e}", path.display()))?
             }
         };
-        let start_file = state.join(START);
         Ok(Fellowship {
             facts: Facts {
                 name: membership.member.clone().unwrap_or_else(|| application.to_string()),
@@ -99,20 +93,62 @@
             },
             seeds: membership.seeds.clone(),
             listen: membership.listen,
+            book: Book::Plain,
             seal: Seal::new(&membership.name, &key),
-            start: next_start(&start_file),
-            start_file,
+            start: 1,
+            seed,
+            planned,
+        })
+    }
+
+    /// A member by what the platform tells it; None where its list can't be one of this sender's fleet: it has nobody but
+    /// this one, or no place for it. Places go by the number at the end of a sender's name.
+    pub fn on_platform(
+        name: &str,
+        site: &str,
+        notes: Notes,
+        seed: u64,
+        planned: usize,
+        settings: u32,
+    ) -> Option<Fellowship> {
+        let digits = name.trim_start_matches(|c: char| !c.is_ascii_digit());
+        let number: usize = digits.parse().ok()?;
+        if number >= notes.peers.len() || notes.peers.len() < 2 {
+            return None;
+        }
+        let places = (0..notes.peers.len()).filter(|n| *n != number);
+        Some(Fellowship {
+            facts: Facts {
+                name: name.to_string(),
+                address: Book::place(number)?,
+                site: site.to_string(),
+                version: version(),
+                settings,
+            },
+            seeds: places.filter_map(Book::place).collect(),
+            listen: notes.listen,
+            book: Book::Led(notes.peers),
+            // Nobody else can reach that socket; the check is against what is spoilt.
+            seal: Seal::new("platform", &[]),
+            start: 1,
             seed,
             planned,
         })
     }
 }
 
+/// Where notes between senders go and come in, as the platform tells a sender.
+#[derive(Clone, Debug)]
+pub struct Notes {
+    pub peers: Vec<SocketAddr>,
+    pub listen: SocketAddr,
+}
+
 struct Front<D> {
     socket: D,
+    book: Book,
     fleet: Fleet,
     parts: Parts,
-    start_file: PathBuf,
     core: mpsc::Sender<Input>,
     room: Rc<Room>,
     began: Instant,
@@ -135,8 +171,9 @@
             return;
         }
     };
-    if let Err(error) = keep_start(&told.start_file, told.start) {
-        tracing::warn!(%error, "cannot keep the start; others may hold an earlier life for this one");
+    // Kept before anybody hears of it, or a process killed early would come back under the same one.
+    if core.send(Input::Start(told.start)).await.is_err() {
+        return;
     }
     let (member, start) = (told.facts.name.clone(), told.start);
     tracing::info!(member, start, listen = %told.listen, "a member of the fleet");
@@ -145,8 +182,12 @@
     let mut front = Front {
         socket,
         fleet: Fleet::new(config, 0),
-        parts: Parts::new(told.planned, 0),
-        start_file: told.start_file,
+        parts: if matches!(told.book, Book::Led(_)) {
+            Parts::closed(told.planned, 0)
+        } else {
+            Parts::new(told.planned, 0)
+        },
+        book: told.book,
         core,
         room,
         began: Instant::now(),
@@ -165,7 +206,12 @@
             }
             // Timers first: a process that stood still must know that before it reads what waited for it.
             () = sleep_until(wake) => None,
-            came = front.socket.receive(&mut buffer) => came.ok(),
+            came = front.socket.receive(&mut buffer) => {
+                let Ok((length, from)) = came else { continue };
+                // What is nobody's of the fleet is not even looked at.
+                let Some(from) = front.book.from(from) else { continue };
+                Some((length, from))
+            }
         };
         match came {
             Some((length, from)) => front.tell(Told::Datagram { from, bytes: &buffer[..length] }),
@@ -194,12 +240,15 @@
         let mut changed = false;
         for output in out {
             match output {
-                Output::Send { to, bytes } => self.socket.send(&bytes, to),
-                Output::Keep { start } => {
-                    if let Err(error) = keep_start(&self.start_file, start) {
-                        tracing::warn!(start, %error, "cannot keep the start");
+                Output::Send { to, bytes } => {
+                    if let Some(to) = self.book.to(to) {
+                        self.socket.send(&bytes, to);
                     }
                 }
+                Output::Keep { start } => {
+                    // A core with no room for it: the next process learns from the others again.
+                    let _ = self.core.try_send(Input::Start(start));
+                }
                 Output::Changed { name, change, .. } => {
                     let change = format!("{change:?}").to_lowercase();
                     tracing::info!(
@@ -255,14 +304,8 @@
 
     #[test]
     fn each_start_is_later_than_the_one_before_and_a_spoilt_file_is_a_first_one() {
-        let folder = std::env::temp_dir().join(format!("nickelshed-fleet-start-{}", std::process::id()));
-        std::fs::create_dir_all(&folder).unwrap();
-        let path = folder.join(START);
-        assert_eq!(next_start(&path), 1);
-        keep_start(&path, 1).unwrap();
-        assert_eq!(next_start(&path), 2);
-        std::fs::write(&path, "4\u{0}x").unwrap();
-        assert_eq!(next_start(&path), 1);
-        std::fs::remove_dir_all(folder).unwrap();
+        let kept = |text: &[u8]| start_after(Some(text.to_vec()));
+        assert_eq!((start_after(None), kept(b"1\n"), kept(b"41")), (1, 2, 42));
+        assert_eq!((kept(b"4\0x"), kept(b"\xff"), kept(b"4294967295")), (1, 1, u32::MAX));
     }
 }
--- a/crates/serve/nickelshed/src/inbox.rs
+++ b/crates/serve/nickelshed/src/inbox.rs
@@ -39,6 +39,8 @@
     Synced(Synced),
     /// So many senders share each limit, by the view of the fleet.
     Senders(usize),
+    /// The start of this member of the fleet, to be kept for its next process.
+    Start(u32),
     /// No client can come any more: end once nothing is left to do, and start nothing new after this time.
     Wind(Instant),
 }
--- a/crates/serve/nickelshed/src/lib.rs
+++ b/crates/serve/nickelshed/src/lib.rs
@@ -128,7 +128,8 @@
 ) -> Result<Journal<S>, String> {
     let limits = &config.limits;
     let options = Options {
-        disk: (limits.disk_mb * 1e6) as u64,
+        // The start that a member keeps lies in the folder too, and for a moment beside the one before it.
+        disk: ((limits.disk_mb * 1e6) as u64).saturating_sub(if config.fleet.is_some() { 1_024 } else { 0 }),
         max_attempts: config.settings.max_attempts,
         durability: match config.durability {
             Durability::Process => nickelshed_journal::Durability::Process,
@@ -249,7 +250,10 @@
     let deadline = |c: &Class| Duration::from_nanos(c.deadline.max(0) as u64);
     let class = |c: &Class| server::Class { effect: c.effect, deadline: deadline(c) };
     let classes = settings.classes.iter().map(class).collect();
-    let fellowship = config.fleet.take();
+    let fellowship = config.fleet.take().map(|mut told| {
+        told.start = fleet::start_after(journal.beside(fleet::START));
+        told
+    });
     let mut core = core::Core::new(host.clone(), config, journal, syncs, client, inbox, notices_in);
     let (leave, leaving) = tokio::sync::oneshot::channel();
     let member = fellowship.map(|told| {
--- a/crates/tools/nickelshed-config/src/compile.rs
+++ b/crates/tools/nickelshed-config/src/compile.rs
@@ -84,6 +84,8 @@
         route_fee: fees,
     };
     let around = Around {
+        // A sidecar's fleet is told in its own section.
+        notes: false,
         lister: Lister::Agent,
         x0: None,
         x1: None,
