--- a/crates/decide/nickelshed-fleet/src/parts.rs
+++ b/crates/decide/nickelshed-fleet/src/parts.rs
@@ -139,7 +139,8 @@
             }
         }
         self.others.retain(|_, s| !matches!(s, Stand::Left(at) if now - *at > WINDING_UP));
-        if if self.closed { stood_still } else { seen.doubts_itself } {
+        let begins_anew = if self.closed { stood_still } else { seen.doubts_itself };
+        if begins_anew {
             self.begins = Some(now);
         }
         if let Some(since) = self.begins {
--- a/crates/serve/nickelshed-journal/src/journal.rs
+++ b/crates/serve/nickelshed-journal/src/journal.rs
@@ -147,8 +147,10 @@
 }
 
 /// Segments are this part of the room.
-/// Bytes of a file beside the journal at most.
-const BLOCK_BESIDE: u64 = 512;
+/// Bytes of a file beside the journal at most: a block of the disk.
+const BESIDE: u64 = 512;
+/// What such a file takes of the folder's limit, with the new one that stands beside it for a moment.
+pub const ROOM_BESIDE: u64 = 2 * BESIDE;
 const SEGMENTS: u64 = 16;
 const LEAST_SEGMENT: u64 = 16 << 10;
 const MOST_SEGMENT: u64 = 1 << 20;
@@ -348,8 +350,8 @@
         Some(note::newest(&self.storage.read(NOTE, NOTE_SIZE).ok()?)?.1)
     }
 
-    /// Keeps a few bytes in a file of their own beside the journal, whole or not at all. Their room is for whoever opens the
-    /// journal to set aside: a block, and one more while the new file stands beside the old one.
+    /// Keeps a few bytes in a file of their own beside the journal, whole or not at all. [`ROOM_BESIDE`] is for whoever opens
+    /// the journal to set aside.
     ///
     /// # Errors
     /// If they can't be written; what was kept before is kept then.
@@ -366,7 +368,7 @@
 
     /// What was kept so, up to a block of it; None if nothing was, or it can't be read.
     pub fn beside(&self, name: &str) -> Option<Vec<u8>> {
-        self.storage.read(name, BLOCK_BESIDE).ok()
+        self.storage.read(name, BESIDE).ok()
     }
 
     /// Whether new messages wait for room on the disk that other programs have taken.
--- a/crates/serve/nickelshed-journal/src/lib.rs
+++ b/crates/serve/nickelshed-journal/src/lib.rs
@@ -20,7 +20,7 @@
 pub use format::VERSION;
 pub use journal::{
     is_aside, segment_name, segment_number, Claim, Durability, Found, Journal, OpenError, Options, Round,
-    Stats, Sync, Synced,
+    Stats, Sync, Synced, ROOM_BESIDE,
 };
 pub use note::MOST_NOTE;
 pub use pace::{Room, AMPLIFICATION, STEP};
--- a/crates/serve/nickelshed/src/fleet.rs
+++ b/crates/serve/nickelshed/src/fleet.rs
@@ -46,8 +46,6 @@
     listen: SocketAddr,
     book: Book,
     seal: Seal,
-    /// Of this process, counted over all of its member; it has to be given before it runs.
-    pub start: u32,
     seed: u64,
     /// How many senders the settings name.
     planned: usize,
@@ -95,7 +93,6 @@
             listen: membership.listen,
             book: Book::Plain,
             seal: Seal::new(&membership.name, &key),
-            start: 1,
             seed,
             planned,
         })
@@ -130,7 +127,6 @@
             book: Book::Led(notes.peers),
             // Nobody else can reach that socket; the check is against what is spoilt.
             seal: Seal::new("platform", &[]),
-            start: 1,
             seed,
             planned,
         })
@@ -155,10 +151,11 @@
     senders: usize,
 }
 
-/// Is a member until `end` comes, and then says that it leaves.
+/// Is a member until `end` comes, and then says that it leaves. `start` counts the processes of this member.
 pub async fn run<H: Host>(
     host: H,
     told: Fellowship,
+    start: u32,
     core: mpsc::Sender<Input>,
     room: Rc<Room>,
     mut end: oneshot::Receiver<()>,
@@ -171,11 +168,12 @@
             return;
         }
     };
-    // Kept before anybody hears of it, or a process killed early would come back under the same one.
-    if core.send(Input::Start(told.start)).await.is_err() {
+    // Before anybody hears of it: one that is killed before the core has kept it comes back under the same start, which those
+    // that heard of it then say.
+    if core.send(Input::Start(start)).await.is_err() {
         return;
     }
-    let (member, start) = (told.facts.name.clone(), told.start);
+    let member = told.facts.name.clone();
     tracing::info!(member, start, listen = %told.listen, "a member of the fleet");
     let config =
         Config { facts: told.facts, start, seeds: told.seeds, seal: told.seal, rate: RATE, seed: told.seed };
--- a/crates/serve/nickelshed/src/lib.rs
+++ b/crates/serve/nickelshed/src/lib.rs
@@ -129,7 +129,11 @@
     let limits = &config.limits;
     let options = Options {
         // The start that a member keeps lies in the folder too, and for a moment beside the one before it.
-        disk: ((limits.disk_mb * 1e6) as u64).saturating_sub(if config.fleet.is_some() { 1_024 } else { 0 }),
+        disk: ((limits.disk_mb * 1e6) as u64).saturating_sub(if config.fleet.is_some() {
+            nickelshed_journal::ROOM_BESIDE
+        } else {
+            0
+        }),
         max_attempts: config.settings.max_attempts,
         durability: match config.durability {
             Durability::Process => nickelshed_journal::Durability::Process,
@@ -250,21 +254,19 @@
     let deadline = |c: &Class| Duration::from_nanos(c.deadline.max(0) as u64);
     let class = |c: &Class| server::Class { effect: c.effect, deadline: deadline(c) };
     let classes = settings.classes.iter().map(class).collect();
-    let fellowship = config.fleet.take().map(|mut told| {
-        told.start = fleet::start_after(journal.beside(fleet::START));
-        told
-    });
+    let fellowship = config.fleet.take().map(|told| (told, fleet::start_after(journal.beside(fleet::START))));
     let mut core = core::Core::new(host.clone(), config, journal, syncs, client, inbox, notices_in);
     let (leave, leaving) = tokio::sync::oneshot::channel();
-    let member = fellowship.map(|told| {
+    let member = fellowship.map(|(told, start)| {
         let room = Rc::new(fleet::Room::default());
         core.room = Some(room.clone());
-        (told, room)
+        (told, start, room)
     });
     core.resume(known, news_within).await;
     let core = spawn_local(core.run());
-    let member = member
-        .map(|(told, room)| spawn_local(fleet::run(host.clone(), told, core_in.clone(), room, leaving)));
+    let member = member.map(|(told, start, room)| {
+        spawn_local(fleet::run(host.clone(), told, start, core_in.clone(), room, leaving))
+    });
 
     // Only now: a sender is used once it answers, and what the journal holds comes first.
     let listener = host.listen(listen).await.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
--- a/crates/serve/nickelshed/tests/bad_input.rs
+++ b/crates/serve/nickelshed/tests/bad_input.rs
@@ -26,8 +26,7 @@
 }
 
 fn list(generation: u64, reset: bool, instances: Value) -> String {
-    let body = json!({"generation": generation, "reset": reset, "instances": instances}).to_string();
-    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+    answer_of(&json!({"generation": generation, "reset": reset, "instances": instances}).to_string())
 }
 
 #[test]
