Review: after one refused call to a shared discovery a change is unknown for 18 s

Cause: with 58 senders or more, the pause after a refused call is drawn from up to 40 s, while a change counts as told after 6 s. No code of the project is changed.

--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -204,6 +204,9 @@
     /// When each list with this generation had been written completely.
     told: Vec<(Instant, u64, usize)>,
     requests: usize,
+    /// Open watches are refused up to this one.
+    refused: u64,
+    watches: u64,
 }
 
 /// The platform's agent: lists, watches and notices. It answers at once.
@@ -270,11 +273,19 @@
                 match index {
                     None => (state.generation, list_json(state.generation, true, &state.entries, self.indent)),
                     Some(index) => {
+                        state.watches += 1;
+                        let watch = state.watches;
                         let until = Instant::now() + ms(wait);
-                        while state.generation <= index && Instant::now() < until {
+                        while state.generation <= index && Instant::now() < until && state.refused < watch {
                             let left = until - Instant::now();
                             state = self.state.1.wait_timeout(state, left).unwrap().0;
                         }
+                        if state.refused >= watch {
+                            drop(state);
+                            record.line("discovery answered 503: crowded");
+                            stream.write_all(&answer(503, "", b"")).ok()?;
+                            continue;
+                        }
                         let changed: Vec<Entry> =
                             state.changes.iter().filter(|(g, _)| *g > index).map(|(_, e)| e.clone()).collect();
                         (state.generation, list_json(state.generation, false, &changed, self.indent))
@@ -303,6 +314,13 @@
         });
     }
 
+    /// Refuses the watches that are open now, as crowded.
+    pub fn refuse_watches(&self) {
+        let mut state = self.state.0.lock().unwrap();
+        state.refused = state.watches;
+        self.state.1.notify_all();
+    }
+
     /// Changes entries, or adds them, as one new generation.
     pub fn change(&self, changed: Vec<Entry>) -> u64 {
         let mut state = self.state.0.lock().unwrap();
