--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -399,6 +399,26 @@
     });
 }
 
+/// An endpoint that answers by a function: `write` writes an answer and returns whether it could.
+pub fn endpoint_with_end(react: impl Fn(&Message, &dyn Fn(&[u8]) -> bool) + Send + Sync + 'static) -> SocketAddr {
+    let (listener, address) = listen();
+    let react = Arc::new(react);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let react = react.clone();
+            thread::spawn(move || {
+                let _ = stream.set_nodelay(true);
+                let Ok(clone) = stream.try_clone() else { return };
+                let mut reader = BufReader::new(clone);
+                while let Ok(Some(call)) = read_message(&mut reader) {
+                    react(&call, &|bytes| (&stream).write_all(bytes).is_ok());
+                }
+            });
+        }
+    });
+    address
+}
+
 /// One real sender, started with the `run` command of the deploy file from the root of the repository.
 pub struct Sender {
     pub folder: PathBuf,
