Review: a case that cannot run ends the processes that it started

Cause: exit status 2 skipped the destructor that ends the sender, and the signals relied on /bin/kill. Change: the stand-ins keep a list of what they started and end it; signals go through the shell's kill.

--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -62,11 +62,23 @@
     }
 }
 
+/// The processes that were started and not ended yet, with their folders.
+static STARTED: Mutex<Vec<(u32, PathBuf)>> = Mutex::new(Vec::new());
+
+/// Ends all processes that were started, and the run with exit status 2.
 pub fn cannot_run(why: &str) -> ! {
     eprintln!("the case could not run: {why}");
+    for (pid, folder) in STARTED.lock().unwrap().drain(..) {
+        send_signal(pid, "KILL");
+        let _ = fs::remove_dir_all(folder);
+    }
     std::process::exit(2);
 }
 
+fn send_signal(pid: u32, name: &str) {
+    let _ = Command::new("/bin/sh").args(["-c", &format!("kill -{name} {pid}")]).status();
+}
+
 /// A request or answer: first line, headers with names in lower case, body.
 #[derive(Clone, Debug, Default)]
 pub struct Message {
@@ -481,6 +493,7 @@
             .stderr(log)
             .spawn()
             .unwrap_or_else(|e| cannot_run(&format!("cannot start the sender: {e}")));
+        STARTED.lock().unwrap().push((child.id(), self.folder.clone()));
         self.child = Some(child);
         let until = Instant::now() + ms(10_000);
         while Instant::now() < until {
@@ -504,12 +517,13 @@
     }
 
     pub fn signal(&self, name: &str) {
-        let _ = Command::new("/bin/kill").args([format!("-{name}"), self.pid().to_string()]).status();
+        send_signal(self.pid(), name);
     }
 
     /// Ends the process at once, as SIGKILL does.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
+            STARTED.lock().unwrap().retain(|(pid, _)| *pid != child.id());
             let _ = child.kill();
             let _ = child.wait();
         }
