Read lists of endpoints of any length as they arrive

Cause: discovery.rs bounded the text of a list by 1 MiB and its arrival by the time limit of the request (1 s, shared 3 s), and repeated the request without end past either bound. Change: entries are parsed one by one as they arrive (list/reader.rs, no I/O), bounded by the memory that they take; after its head an answer may take as long as it makes progress (discovery/transfer.rs, no I/O). The list of the configuration file is read likewise. Why it works: nothing is bounded by the length of the text any more, and what is bounded (memory, progress) cannot be passed by a list that a sender could use.

--- a/crates/serve/nickelshed/src/connections.rs
+++ b/crates/serve/nickelshed/src/connections.rs
@@ -6,6 +6,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, HOST};
+use hyper::http::response;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use nickelshed_host::Host;
@@ -257,21 +258,36 @@
         })
     }
 
-    /// Sends a request and reads the complete answer, for discovery, notices and probes.
+    /// Sends a request and reads the complete answer, for notices and probes.
     pub async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
         max_body: usize,
     ) -> Result<(u16, HeaderMap, Bytes), Fault> {
-        let (head, body) = self.send(request).await?.into_parts();
-        self.socket.end_exchange();
+        let (head, body) = self.send_and_read_head(request).await?;
         let body =
             Limited::new(body, max_body).collect().await.map_err(|e| Fault::Interrupted(e.to_string()))?;
+        self.finish_exchange().await;
+        Ok((head.status.as_u16(), head.headers, body.to_bytes()))
+    }
+
+    /// Sends a request and reads the head of its answer. After the body has been read to its end,
+    /// `finish_exchange` must follow.
+    pub async fn send_and_read_head(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(response::Parts, Incoming), Fault> {
+        let answer = self.send(request).await?;
+        self.socket.end_exchange();
+        Ok(answer.into_parts())
+    }
+
+    /// Prepares for the next exchange after an answer has been read to its end.
+    pub async fn finish_exchange(&mut self) {
         // Without this wait, the next request could find the connection still busy with the end of this
         // answer.
         let _ = timeout(TAIL_TIMEOUT, self.request_sender.ready()).await;
         self.begin_idle(Instant::now());
-        Ok((head.status.as_u16(), head.headers, body.to_bytes()))
     }
 
     /// Reads the remaining body of an answer whose outcome is known. Returns whether the connection can be
--- a/crates/serve/nickelshed/src/discovery.rs
+++ b/crates/serve/nickelshed/src/discovery.rs
@@ -1,30 +1,35 @@
 //! Follows the list of endpoints at discovery: requests a full list first, then the changes by a watch (long
 //! poll) that is repeated as soon as it is answered. `schedule` decides how long to pause after a failure.
 mod schedule;
+mod transfer;
 
 use crate::connections::{self, Connection};
 use crate::inbox::Input;
-use crate::list::EndpointList;
+use crate::list::{EndpointList, ListError, ListReader};
 use crate::watch;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use nickelshed_host::Host;
 use schedule::Failure;
 pub use schedule::RequestSchedule;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, timeout_at, Instant};
+use transfer::TransferDeadline;
 
 /// The longest time for which discovery may delay the start.
 const MAX_STARTUP_WAIT: Duration = Duration::from_millis(300);
 /// Discovery answers within this time if it already has what is asked for.
 const IMMEDIATE_ANSWER_TIME: Duration = Duration::from_millis(50);
-const MAX_LIST_BYTES: usize = 1 << 20;
+/// The memory limit of the process divided by this is what the entries of one list may use while they are read.
+const LIST_MEMORY_DIVISOR: f64 = 8.0;
 
 /// Why a request to discovery did not return a list.
 #[derive(Debug)]
 enum RequestError {
     Status(u16),
-    InvalidList(serde_json::Error),
+    InvalidList(ListError),
     Unreachable(String),
     TimedOut,
 }
@@ -44,6 +49,7 @@
     fn failure(&self) -> Failure {
         match self {
             RequestError::Status(_) => Failure::Rejected,
+            RequestError::InvalidList(ListError::TooLarge(_)) => Failure::ListTooLarge,
             RequestError::InvalidList(_) | RequestError::Unreachable(_) | RequestError::TimedOut => {
                 Failure::Unavailable
             }
@@ -60,33 +66,59 @@
     list.generation < requested || (list.generation == requested && is_early && !is_unchanged)
 }
 
-/// Requests a list, on the previous connection if there is one. Also returns whether that was used.
+/// Requests a list, on the previous connection if there is one. Also returns whether that was used. The head of
+/// the answer must come before `head_deadline`; the body may take longer while it makes progress.
 async fn request_list<H: Host>(
     idle_connection: &mut Option<Connection<H>>,
     host: &H,
     address: SocketAddr,
     path: &str,
+    head_deadline: Instant,
+    max_list_bytes: usize,
 ) -> Result<(EndpointList, bool), RequestError> {
     let dial_timeout = Duration::from_secs(1);
-    // A watch goes on only if the next one follows at once; `may_be_copy` guards it instead of a rest.
-    let opened =
-        Connection::reuse_or_open(idle_connection, host, address, dial_timeout, Duration::ZERO).await;
-    let mut connection = opened.map_err(|e| RequestError::Unreachable(e.to_string()))?;
-    let is_reused = connection.idle_time().is_some();
-    let request = connections::request("GET", path, address, &[], Default::default());
-    let (status, headers, body) = connection
-        .exchange(request, MAX_LIST_BYTES)
-        .await
-        .map_err(|e| RequestError::Unreachable(e.to_string()))?;
-    tracing::debug!(path, status, ?headers, bytes = body.len(), "discovery answered");
+    let unreachable = |fault: connections::Fault| RequestError::Unreachable(fault.to_string());
+    let answer_head = async {
+        // A watch goes on only if the next one follows at once; `may_be_copy` guards it instead of a rest.
+        let opened =
+            Connection::reuse_or_open(idle_connection, host, address, dial_timeout, Duration::ZERO).await;
+        let mut connection = opened.map_err(|e| RequestError::Unreachable(e.to_string()))?;
+        let is_reused = connection.idle_time().is_some();
+        let request = connections::request("GET", path, address, &[], Default::default());
+        let (head, body) = connection.send_and_read_head(request).await.map_err(unreachable)?;
+        Ok((connection, is_reused, head, body))
+    };
+    let (mut connection, is_reused, head, body) =
+        timeout_at(head_deadline, answer_head).await.unwrap_or(Err(RequestError::TimedOut))?;
+    let status = head.status.as_u16();
+    tracing::debug!(path, status, headers = ?head.headers, "discovery answered");
     if status != 200 {
         return Err(RequestError::Status(status));
     }
-    let list = serde_json::from_slice(&body).map_err(RequestError::InvalidList)?;
+    let list = read_list(body, TransferDeadline::new(head_deadline, Instant::now()), max_list_bytes).await?;
+    connection.finish_exchange().await;
     *idle_connection = Some(connection);
     Ok((list, is_reused))
 }
 
+/// Reads the list in the body of an answer.
+async fn read_list(
+    mut body: Incoming,
+    mut transfer: TransferDeadline,
+    max_list_bytes: usize,
+) -> Result<EndpointList, RequestError> {
+    let mut reader = ListReader::new(max_list_bytes);
+    loop {
+        let frame = timeout_at(transfer.deadline(), body.frame()).await;
+        let Some(frame) = frame.map_err(|_| RequestError::TimedOut)? else { break };
+        let frame = frame.map_err(|e| RequestError::Unreachable(e.to_string()))?;
+        let Ok(data) = frame.into_data() else { continue };
+        transfer.received(Instant::now(), data.len());
+        reader.push(&data).map_err(RequestError::InvalidList)?;
+    }
+    reader.finish().map_err(RequestError::InvalidList)
+}
+
 /// The generation of the list that the sender has at startup, and when changes since then are first asked
 /// for.
 pub struct CachedList {
@@ -115,8 +147,10 @@
     mut address_rx: watch::Receiver<SocketAddr>,
     cached_list: Option<CachedList>,
     mut schedule: RequestSchedule,
+    memory_mb: f64,
     core: mpsc::Sender<Input>,
 ) {
+    let max_list_bytes = (memory_mb * 1e6 / LIST_MEMORY_DIVISOR) as usize;
     let mut connection = None;
     let mut generation = cached_list.as_ref().map(|cached_list| cached_list.generation);
     let mut is_failing = false;
@@ -137,17 +171,14 @@
         let path = generation.map_or("/v1/servers".to_string(), |generation| {
             format!("/v1/servers?index={generation}&wait={}", watch_wait.as_millis())
         });
-        let request_timeout = schedule.answer_timeout(is_watch) + watch_wait;
-        let mut watch_timed_out = false;
         let started_at = Instant::now();
+        let head_deadline = started_at + schedule.answer_timeout(is_watch) + watch_wait;
         let result = tokio::select! {
             biased;
             Ok(()) = address_rx.changed() => None,
-            result = timeout(request_timeout, request_list(&mut connection, &host, address, &path)) => {
-                // A watch that timed out is treated differently from a rejected request.
-                watch_timed_out = is_watch && result.is_err();
-                Some(result.unwrap_or(Err(RequestError::TimedOut)))
-            }
+            result = request_list(
+                &mut connection, &host, address, &path, head_deadline, max_list_bytes,
+            ) => Some(result),
         };
         match result {
             None => (connection, generation) = (None, None),
@@ -189,6 +220,8 @@
                 if !std::mem::replace(&mut is_failing, true) {
                     tracing::warn!(%error, "discovery fails; going on with the list held");
                 }
+                // A watch that timed out is treated differently from a rejected request.
+                let watch_timed_out = is_watch && matches!(error, RequestError::TimedOut);
                 next_pause =
                     if watch_timed_out { schedule.watch_lost() } else { schedule.failed(error.failure()) };
             }
--- a/crates/serve/nickelshed/src/discovery/schedule.rs
+++ b/crates/serve/nickelshed/src/discovery/schedule.rs
@@ -55,6 +55,8 @@
     Rejected,
     /// Discovery did not answer, could not be reached, or did not send a valid list.
     Unavailable,
+    /// The list takes more memory than the sender may use for one.
+    ListTooLarge,
 }
 
 /// The timing of one sender's requests, from the results of its last ones.
@@ -142,6 +144,7 @@
         let doubled = self.polling_cycle.max(MIN_BACKOFF_CEILING).saturating_mul(1 << self.failures.min(16));
         let is_overloaded = failure == Failure::Rejected && self.polling_cycle > MAX_BACKOFF_SHARED;
         let ceiling = match self.mode {
+            _ if failure == Failure::ListTooLarge => MAX_BACKOFF_SHARED,
             DiscoveryMode::Agent => doubled.min(MAX_BACKOFF_AGENT),
             DiscoveryMode::Shared if is_overloaded => {
                 (OVERLOADED_CYCLES * self.polling_cycle).min(MAX_BACKOFF_OVERLOADED)
--- a/crates/serve/nickelshed/src/lib.rs
+++ b/crates/serve/nickelshed/src/lib.rs
@@ -279,6 +279,7 @@
             address_rx.clone(),
             cached_list,
             schedule,
+            config.limits.memory_mb,
             core_tx.clone(),
         ));
     }
--- a/crates/serve/nickelshed/src/list.rs
+++ b/crates/serve/nickelshed/src/list.rs
@@ -1,8 +1,14 @@
 //! A list of endpoints as discovery and the configuration provide it.
+mod reader;
+
+pub use reader::{ListError, ListReader};
+
 use nickelshed_journal::MAX_ENDPOINT_NAME_BYTES;
+use serde::de::{SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer};
 use serde_json::Value;
 use std::collections::HashSet;
+use std::fmt;
 use std::net::SocketAddr;
 
 /// One endpoint, as a list names it.
@@ -18,6 +24,14 @@
     pub weight: f64,
 }
 
+impl Instance {
+    /// Memory that it uses, in bytes.
+    fn memory_bytes(&self) -> usize {
+        let texts = [&self.name, &self.zone, &self.kind, &self.lifecycle];
+        size_of::<Instance>() + texts.iter().map(|text| text.capacity()).sum::<usize>()
+    }
+}
+
 #[derive(Deserialize, Clone, Debug, Default)]
 pub struct EndpointList {
     /// Version of the list, which a watch names to get the changes since then.
@@ -44,20 +58,37 @@
     }
 }
 
-/// Reads the valid entries. An invalid entry is logged and skipped without rejecting the others.
+/// Reads the valid entries, one at a time: a tree of all of them would take several times their memory.
 fn readable_instances<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<Instance>, D::Error> {
-    let values = Vec::<Value>::deserialize(deserializer)?;
-    let read = |value: &Value| {
-        let read = parse_instance(value);
-        if read.is_none() {
-            tracing::warn!(entry = %value, "ignoring an invalid entry of the endpoint list");
+    struct Entries;
+    impl<'de> Visitor<'de> for Entries {
+        type Value = Vec<Instance>;
+
+        fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+            f.write_str("an array of endpoints")
         }
-        read
-    };
-    Ok(values.iter().filter_map(read).collect())
+
+        fn visit_seq<A: SeqAccess<'de>>(self, mut entries: A) -> Result<Vec<Instance>, A::Error> {
+            let mut instances = Vec::new();
+            while let Some(value) = entries.next_element::<Value>()? {
+                instances.extend(parse_instance(&value));
+            }
+            Ok(instances)
+        }
+    }
+    deserializer.deserialize_seq(Entries)
 }
 
+/// Reads an entry. An invalid one is logged and skipped without rejecting the others.
 fn parse_instance(value: &Value) -> Option<Instance> {
+    let instance = valid_instance(value);
+    if instance.is_none() {
+        tracing::warn!(entry = %value, "ignoring an invalid entry of the endpoint list");
+    }
+    instance
+}
+
+fn valid_instance(value: &Value) -> Option<Instance> {
     let text = |key: &str| value.get(key).and_then(Value::as_str);
     let name = text("instanceId").filter(|n| n.len() <= MAX_ENDPOINT_NAME_BYTES)?;
     Some(Instance {
