Send the first message of a batch test alone, so that the others cannot overtake its wait

The test takes for granted that the first answer is known before the other two are sent. Change: the first message is answered before the others are submitted. The batch has all three, the assertions are as before.

--- a/crates/serve/nickelshed/tests/final_answers.rs
+++ b/crates/serve/nickelshed/tests/final_answers.rs
@@ -197,7 +197,11 @@
             false => AnswerFault::None,
         });
         std::thread::sleep(REST_BEFORE_REUSE);
-        ["a", "b", "c"].iter().for_each(|id| setup.submit("alert", id));
+        setup.submit("alert", "a");
+        setup.endpoint.wait_for_message("a", 1);
+        // The wait in the answer to the first message is known before the others come, so all go into a batch.
+        std::thread::sleep(FAULT_DELAY);
+        ["b", "c"].iter().for_each(|id| setup.submit("alert", id));
         let is_batch = |request: &HttpMessage| request.start_line.contains(":batch");
         let received = setup.endpoint.wait_until("a batch", |requests| requests.iter().any(is_batch));
         let batch = received.iter().find(|request| is_batch(request)).unwrap();
