Charge client connections to the memory limit, and hold only what a request needs

Cause: only bodies were charged to the memory budget; 688 connections were served whatever they held (87 KB with a half-sent request, 18 KB with nothing sent). Change: buffers exist from the first byte on, heads end before bodies are awaited, bodies are copied as they arrive; a connection takes one of max_active_clients permits before it is read; server/eviction.rs (no I/O) decides who gives way. Why it works: the sum over all connections is bounded by permits, whatever clients send and however they stop.

--- a/crates/decide/nickelshed-budget/src/lib.rs
+++ b/crates/decide/nickelshed-budget/src/lib.rs
@@ -2,13 +2,15 @@
 //! when it has finished.
 mod limits;
 
-pub use limits::{max_messages_in_memory, max_messages_on_disk, outage_list_bytes, SocketAllocation};
+pub use limits::{
+    max_active_clients, max_messages_in_memory, max_messages_on_disk, outage_list_bytes, SocketAllocation,
+};
 
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// Fraction of the memory limit that messages may use. The rest is for connections, the journal's file (which
-/// counts as memory) and the copies of a body that exist while it is written.
+/// Fraction of the memory limit that messages may use. The rest is for client connections
+/// ([`max_active_clients`]), connections to endpoints, the journal's file (which counts as memory) and the copies of a body that exist while it is written.
 const MESSAGE_MEMORY_FRACTION: f64 = 0.2;
 /// Memory that a message uses besides its body, over all tables.
 const MESSAGE_OVERHEAD_BYTES: usize = 1_536;
--- a/crates/decide/nickelshed-budget/src/limits.rs
+++ b/crates/decide/nickelshed-budget/src/limits.rs
@@ -5,6 +5,19 @@
 /// File descriptors reserved for the listener, the discovery watch, notices and files.
 const RESERVED_SOCKETS: usize = 24;
 
+/// Fraction of the memory limit that client connections may use besides the bodies of their messages.
+const CLIENT_MEMORY_FRACTION: f64 = 0.3;
+/// Memory that the HTTP library and the sender use for a client connection that has sent something: buffers for
+/// a head of the maximum size and for answers, and the state of both.
+const CLIENT_CONNECTION_BYTES: usize = 24 << 10;
+
+/// Number of client connections that may hold the memory of a request at once, for a memory limit of `memory_mb`
+/// megabytes of 10^6 bytes. Connections on which nothing has arrived need none.
+pub fn max_active_clients(memory_mb: f64) -> usize {
+    let bytes = memory_mb * 1e6 * CLIENT_MEMORY_FRACTION;
+    (bytes as usize / CLIENT_CONNECTION_BYTES).max(1)
+}
+
 /// Division of the file descriptors of a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SocketAllocation {
--- a/crates/proof/nickelshed-lab/src/network.rs
+++ b/crates/proof/nickelshed-lab/src/network.rs
@@ -211,6 +211,13 @@
         }
     }
 
+    fn poll_readable(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        match self {
+            LabStream::Simulated(stream) => stream.poll_readable(cx),
+            LabStream::Real(stream) => stream.poll_readable(cx),
+        }
+    }
+
     fn poll_write(&self, cx: &mut Context<'_>, parts: &[IoSlice<'_>]) -> Poll<io::Result<usize>> {
         match self {
             LabStream::Simulated(stream) => stream.poll_write(cx, parts),
--- a/crates/proof/nickelshed-lab/src/sim_network.rs
+++ b/crates/proof/nickelshed-lab/src/sim_network.rs
@@ -590,6 +590,10 @@
         as_step(process, || self.read_now(cx, buffer)).unwrap_or(Poll::Pending)
     }
 
+    fn poll_readable(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.read_now(cx, &mut []).map(|_| Ok(()))
+    }
+
     fn poll_write(&self, cx: &mut Context<'_>, parts: &[IoSlice<'_>]) -> Poll<io::Result<usize>> {
         as_step(self.process_state.as_ref(), || self.write_now(cx, parts)).unwrap_or(Poll::Pending)
     }
--- a/crates/proof/nickelshed-lab/src/sockets.rs
+++ b/crates/proof/nickelshed-lab/src/sockets.rs
@@ -177,6 +177,10 @@
         Stream::poll_read(&self.tcp, cx, buffer)
     }
 
+    fn poll_readable(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Stream::poll_readable(&self.tcp, cx)
+    }
+
     fn poll_write(&self, cx: &mut Context<'_>, parts: &[IoSlice<'_>]) -> Poll<io::Result<usize>> {
         Stream::poll_write(&self.tcp, cx, parts)
     }
--- a/crates/proof/nickelshed-testkit/src/sender_process.rs
+++ b/crates/proof/nickelshed-testkit/src/sender_process.rs
@@ -180,6 +180,14 @@
         files.filter_map(|file| file.metadata().ok()).map(|metadata| metadata.len().div_ceil(512) * 512).sum()
     }
 
+    /// Memory of the process that belongs to no file, in bytes.
+    pub fn anonymous_memory(&self) -> u64 {
+        let process_id = self.child.as_ref().unwrap().id();
+        let status = std::fs::read_to_string(format!("/proc/{process_id}/status")).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse::<u64>().unwrap() * 1_024
+    }
+
     fn config_path(&self) -> PathBuf {
         self.folder.join(if self.sidecar_config.is_some() { "sidecar.toml" } else { "config.json" })
     }
--- a/crates/serve/nickelshed-host/src/lib.rs
+++ b/crates/serve/nickelshed-host/src/lib.rs
@@ -90,6 +90,10 @@
     /// `buffer` is empty. Only the task that polled last is woken.
     fn poll_read(&self, cx: &mut Context<'_>, buffer: &mut [u8]) -> Poll<io::Result<usize>>;
 
+    /// Waits until a read would find bytes, the end of the stream or an error. Only the task that polled last
+    /// is woken.
+    fn poll_readable(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>>;
+
     /// Writes some or all of the bytes, in order, and returns how many. Only the task that polled last is
     /// woken.
     fn poll_write(&self, cx: &mut Context<'_>, buffers: &[IoSlice<'_>]) -> Poll<io::Result<usize>>;
--- a/crates/serve/nickelshed-host/src/system.rs
+++ b/crates/serve/nickelshed-host/src/system.rs
@@ -6,6 +6,7 @@
 use std::net::{Shutdown, SocketAddr};
 use std::task::{ready, Context, Poll};
 use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::time::Instant;
 
@@ -84,6 +85,23 @@
         }
     }
 
+    fn poll_readable(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.poll_read_ready(cx))?;
+            // Asked again, because readiness that the runtime reports may be out of date; `try_io` then clears
+            // it.
+            let would_block = || Err(io::ErrorKind::WouldBlock.into());
+            let readable = self.try_io(Interest::READABLE, || match self.read_state() {
+                ReadState::Empty => would_block(),
+                ReadState::Data | ReadState::Ended | ReadState::Failed => Ok(()),
+            });
+            match readable {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                result => return Poll::Ready(result),
+            }
+        }
+    }
+
     fn poll_write(&self, cx: &mut Context<'_>, buffers: &[IoSlice<'_>]) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.poll_write_ready(cx))?;
--- a/crates/serve/nickelshed/src/lib.rs
+++ b/crates/serve/nickelshed/src/lib.rs
@@ -21,7 +21,7 @@
 
 use crate::config::{Config, EndpointSource, ReloadableConfig};
 use crate::inbox::Input;
-use nickelshed_budget::{Budget, SocketAllocation};
+use nickelshed_budget::{max_active_clients, Budget, SocketAllocation};
 use nickelshed_config::sidecar::Durability;
 use nickelshed_host::{Host, SystemHost};
 use nickelshed_journal::{FileHandle, Journal, Options, Storage, SyncTask};
@@ -237,7 +237,8 @@
     storage: impl FnOnce(&Path) -> S,
 ) -> Result<(), String> {
     let mut config = source.read()?;
-    let budget = Budget::new(config.limits.memory_mb);
+    let memory_mb = config.limits.memory_mb;
+    let budget = Budget::new(memory_mb);
     let journal = open_journal(&config, host.wall_ms(), storage(&config.state), &budget)?;
     let (core_tx, inbox) = mpsc::channel(INBOX_CAPACITY);
     let sync_jobs = match config.durability {
@@ -279,7 +280,7 @@
             address_rx.clone(),
             cached_list,
             schedule,
-            config.limits.memory_mb,
+            memory_mb,
             core_tx.clone(),
         ));
     }
@@ -331,6 +332,8 @@
         classes,
         budget,
         max_served: sockets.clients,
+        request_memory: server::RequestMemory::new(max_active_clients(memory_mb)),
+        last_eviction: Default::default(),
         max_rejected: sockets.rejected_clients,
         open_connections: Default::default(),
         clients: Default::default(),
--- a/crates/serve/nickelshed/src/server.rs
+++ b/crates/serve/nickelshed/src/server.rs
@@ -1,11 +1,18 @@
 //! The HTTP server for clients: accepts connections, validates requests and submits messages to the core.
+mod client;
+mod eviction;
+mod request_memory;
+mod responses;
+
 use crate::inbox::{Input, Reply};
 use crate::socket::{Socket, SocketIo, MAX_HEADERS, MAX_HEAD_BYTES};
 use crate::watch;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use client::ClientConnection;
+use eviction::{evicted_for_memory, evicted_for_slot};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, HeaderValue, ALLOW, CONNECTION, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::header::{HeaderMap, TRANSFER_ENCODING};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -15,25 +22,22 @@
 use nickelshed_journal::{AcceptedMessage, MAX_BODY_BYTES};
 use nickelshed_policy::api::Effect;
 use nickelshed_settings::DeploymentContext;
+pub use request_memory::RequestMemory;
+use request_memory::RequestPermit;
+use responses::{
+    and_close, error_and_close, method_not_allowed, text_response, unavailable, UNREAD_REQUEST_REFUSED,
+};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot, Notify};
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 
-/// Time limit to receive a request, head and body together. For the first request it counts from when the
-/// connection was accepted.
-const REQUEST_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// How long a connection may be idle.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-/// The same once all `max_served` connections are in use and a new one needs a slot.
-const IDLE_TIMEOUT_AT_LIMIT: Duration = Duration::from_secs(2);
-/// The same for a connection that has not sent a request yet. It is shorter because a client that has a
-/// request sends it right after connecting.
-const NO_REQUEST_TIMEOUT_AT_LIMIT: Duration = Duration::from_millis(500);
+/// How often a request that waits for memory looks for a connection that may give it up.
+const EVICTION_INTERVAL: Duration = Duration::from_millis(20);
 /// Limits, in time and in bytes, of what is still read from a closing connection, so that its last answer
 /// arrives.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -57,6 +61,9 @@
     pub budget: Budget,
     /// Limit of the connections that are served.
     pub max_served: usize,
+    pub request_memory: Rc<RequestMemory>,
+    /// When connections were last chosen to give up their memory.
+    pub last_eviction: Cell<Option<Instant>>,
     /// Limit of the connections beyond `max_served` that are answered 503. Further ones are closed
     /// immediately.
     pub max_rejected: usize,
@@ -66,30 +73,12 @@
     pub clients: RefCell<BTreeMap<u64, Rc<ClientConnection<H::Stream>>>>,
 }
 
-/// A client connection that is served.
-pub struct ClientConnection<S> {
-    socket: Rc<Socket<S>>,
-    /// When its last request was answered, or when it was accepted.
-    idle_since: Cell<Instant>,
-    has_sent_request: Cell<bool>,
-    /// The head of a request has arrived and its answer is not known yet.
-    is_busy: Cell<bool>,
-    close_requested: Notify,
-}
-
-impl<S: Stream> ClientConnection<S> {
-    fn is_idle(&self) -> bool {
-        !self.is_busy.get() && self.socket.first_byte_at().is_none()
-    }
-
-    /// When the request that is being received must be complete, or when the idle connection is closed.
-    fn deadline(&self) -> Instant {
-        match self.socket.first_byte_at() {
-            Some(first_byte_at) if self.has_sent_request.get() => first_byte_at + REQUEST_TIMEOUT,
-            None if self.has_sent_request.get() => self.idle_since.get() + IDLE_TIMEOUT,
-            _ => self.idle_since.get() + REQUEST_TIMEOUT,
-        }
-    }
+/// Why a client connection ends.
+enum ConnectionEnd {
+    /// Nothing is owed on it any more.
+    Finished,
+    /// Its client is to be told that its request was not read.
+    Refused,
 }
 
 impl<H: Host> Server<H> {
@@ -145,13 +134,7 @@
         connection_id: u64,
         socket: &Rc<Socket<H::Stream>>,
     ) -> Rc<ClientConnection<H::Stream>> {
-        let client = Rc::new(ClientConnection {
-            socket: socket.clone(),
-            idle_since: Cell::new(Instant::now()),
-            has_sent_request: Cell::new(false),
-            is_busy: Cell::new(false),
-            close_requested: Notify::new(),
-        });
+        let client = Rc::new(ClientConnection::new(socket.clone()));
         self.clients.borrow_mut().insert(connection_id, client.clone());
         client
     }
@@ -160,79 +143,132 @@
     /// one request and stay connected. Returns whether its slot is free now.
     fn evict_idle_client(&self) -> bool {
         let mut clients = self.clients.borrow_mut();
-        let may_evict = |client: &ClientConnection<H::Stream>| {
-            let idle_limit = if client.has_sent_request.get() {
-                IDLE_TIMEOUT_AT_LIMIT
-            } else {
-                NO_REQUEST_TIMEOUT_AT_LIMIT
-            };
-            client.is_idle() && client.idle_since.get().elapsed() >= idle_limit
-        };
-        let oldest = clients
-            .iter()
-            .filter(|(_, client)| may_evict(client))
-            .min_by_key(|(_, client)| client.idle_since.get());
-        let Some((&connection_id, client)) = oldest else { return false };
-        if client.socket.has_unread_data() {
+        let now = Instant::now();
+        let candidates = clients.iter().filter_map(|(id, client)| client.as_candidate(*id, now));
+        let Some(connection_id) = evicted_for_slot(candidates) else { return false };
+        let Some(client) = clients.get(&connection_id).filter(|c| !c.socket.has_unread_data()) else {
             return false;
-        }
+        };
         client.close_requested.notify_one();
         clients.remove(&connection_id);
         true
     }
 
-    async fn serve(&self, client: Rc<ClientConnection<H::Stream>>, mut stop: watch::Receiver<bool>) {
-        let socket = client.socket.clone();
-        let service = service_fn(|request| {
-            let client = client.clone();
-            async move {
-                client.is_busy.set(true);
-                let mut response = self.handle_request(request, client.deadline()).await;
-                // Clients that open a new connection for each message would otherwise fill all slots with
-                // idle connections that are too young to be closed.
-                if self.clients.borrow().len() > self.max_served * 3 / 4 {
-                    response = and_close(response);
-                }
-                client.is_busy.set(false);
-                client.has_sent_request.set(true);
-                client.idle_since.set(Instant::now());
-                client.socket.end_exchange();
-                Ok::<_, Infallible>(response)
+    /// Asks as many connections to give up their memory as wait for it, as far as there are some that may have
+    /// to. Looks for them once in each `EVICTION_INTERVAL`.
+    fn evict_for_memory(&self) {
+        let now = Instant::now();
+        if self.last_eviction.get().is_some_and(|at| now < at + EVICTION_INTERVAL) {
+            return;
+        }
+        self.last_eviction.set(Some(now));
+        let clients = self.clients.borrow();
+        let evicted_count = clients.values().filter(|client| client.is_evicted()).count();
+        let candidates = clients.iter().filter_map(|(id, client)| client.as_candidate(*id, now));
+        let evicted =
+            evicted_for_memory(candidates, self.request_memory.waiting_count().saturating_sub(evicted_count));
+        if !evicted.is_empty() {
+            tracing::debug!(count = evicted.len(), "client connections give way to others for their memory");
+        }
+        for client in evicted.iter().filter_map(|connection_id| clients.get(connection_id)) {
+            client.evict();
+        }
+    }
+
+    /// Waits for the memory that a connection needs from its first request until it ends. `None` if others
+    /// hold it for too long.
+    async fn reserve_memory(&self, client: &ClientConnection<H::Stream>) -> Option<RequestPermit> {
+        if let Some(permit) = self.request_memory.try_acquire() {
+            return Some(permit);
+        }
+        client.set_awaiting_memory(true);
+        let mut next_permit = self.request_memory.wait();
+        let permit = loop {
+            self.evict_for_memory();
+            tokio::select! {
+                biased;
+                permit = &mut next_permit => break permit.ok(),
+                () = sleep_until(client.deadline()) => break None,
+                () = sleep(EVICTION_INTERVAL) => {}
+            }
+        };
+        client.set_awaiting_memory(false);
+        permit
+    }
+
+    async fn serve(&self, client: Rc<ClientConnection<H::Stream>>, stop: watch::Receiver<bool>) {
+        let end = self.serve_requests(&client, stop).await;
+        let close = async {
+            if matches!(end, ConnectionEnd::Refused) {
+                let _ = client.socket.write_all(UNREAD_REQUEST_REFUSED).await;
+            }
+            client.socket.close(CLOSE_MAX_BYTES).await;
+        };
+        let _ = timeout(CLOSE_TIMEOUT, close).await;
+    }
+
+    async fn serve_requests(
+        &self,
+        client: &Rc<ClientConnection<H::Stream>>,
+        mut stop: watch::Receiver<bool>,
+    ) -> ConnectionEnd {
+        // The HTTP library allocates its buffers when it first reads; many clients connect and say nothing.
+        if !client.first_bytes().await {
+            return ConnectionEnd::Finished;
+        }
+        let Some(_memory) = self.reserve_memory(client).await else { return ConnectionEnd::Refused };
+        let socket = &client.socket;
+        let service = service_fn(|request| async move {
+            client.begin_request();
+            let mut response = self.handle_request(request, client).await;
+            // Clients that open a new connection for each message would otherwise fill all slots with idle
+            // connections that are too young to be closed.
+            if self.clients.borrow().len() > self.max_served * 3 / 4 {
+                response = and_close(response);
             }
+            client.end_request();
+            Ok::<_, Infallible>(response)
         });
         let connection = http_builder().serve_connection(TokioIo::new(SocketIo(socket.clone())), service);
-        {
-            let mut connection = pin!(connection);
-            let mut is_stopping = false;
-            loop {
-                tokio::select! {
-                    biased;
-                    _ = connection.as_mut() => break,
-                    () = stop.wait_for(true), if !is_stopping => {
-                        is_stopping = true;
-                        connection.as_mut().graceful_shutdown();
+        let mut connection = pin!(connection);
+        let mut is_stopping = false;
+        loop {
+            tokio::select! {
+                biased;
+                _ = connection.as_mut() => return ConnectionEnd::Finished,
+                () = stop.wait_for(true), if !is_stopping => {
+                    is_stopping = true;
+                    connection.as_mut().graceful_shutdown();
+                }
+                () = client.close_requested.notified() => {
+                    if client.gives_up_head() {
+                        return ConnectionEnd::Refused;
                     }
                     // A request that arrived after the connection was chosen for closing is still answered.
-                    () = client.close_requested.notified() => {
-                        if client.is_idle() && !socket.has_unread_data() { break }
+                    if client.is_idle() && !socket.has_unread_data() {
+                        return ConnectionEnd::Finished;
                     }
-                    () = socket.readable.notified() => {}
-                    // While a request is being answered, its own time limit applies.
-                    () = sleep_until(client.deadline()), if !client.is_busy.get() => {
-                        if Instant::now() >= client.deadline()
-                            && !(client.is_idle() && socket.has_unread_data())
-                        {
-                            break;
-                        }
+                }
+                () = socket.readable.notified() => {}
+                // While a request is being answered, its own time limit applies.
+                () = sleep_until(client.deadline()), if !client.is_busy() => {
+                    if Instant::now() >= client.deadline()
+                        && !(client.is_idle() && socket.has_unread_data())
+                    {
+                        return ConnectionEnd::Finished;
                     }
                 }
             }
         }
-        let _ = timeout(CLOSE_TIMEOUT, socket.close(CLOSE_MAX_BYTES)).await;
     }
 
-    /// Handles one request; all of it must have arrived by `receive_by`.
-    async fn handle_request(&self, request: Request<Incoming>, receive_by: Instant) -> Response<Full<Bytes>> {
+    /// Handles one request; all of it must have arrived by the deadline of its connection.
+    async fn handle_request(
+        &self,
+        request: Request<Incoming>,
+        client: &ClientConnection<H::Stream>,
+    ) -> Response<Full<Bytes>> {
+        let receive_by = client.deadline();
         let (head, body) = request.into_parts();
         let path = head.uri.path();
         if path == "/healthz" && matches!(head.method, Method::GET | Method::HEAD) && body.is_end_stream() {
@@ -262,6 +298,8 @@
             Ok(read) => read,
             Err(why) => return error_and_close(StatusCode::BAD_REQUEST, why),
         };
+        // The head takes several times the memory of the message that was read from it.
+        drop(head);
         // Reserves memory for the body until the message is finished or rejected.
         let Some(share) = self.budget.try_reserve(size as usize) else {
             tracing::debug!(message.trace, size, "no memory for the body");
@@ -271,15 +309,15 @@
         let deadline = Instant::now() + time_left;
         message.accepted_at_ms = self.host.wall_ms();
         message.deadline_ms = message.accepted_at_ms + time_left.as_millis() as i64;
-        message.body = match timeout_at(receive_by, Limited::new(body, MAX_BODY_BYTES).collect()).await {
-            // Copied because the library's buffer, of which this is a slice, is far larger than most
-            // messages.
-            Ok(Ok(body)) => Bytes::copy_from_slice(&body.to_bytes()),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => {
-                return error_and_close(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB")
+        let received = timeout_at(receive_by, read_body(body, size as usize));
+        message.body = match client.receive_body(received).await {
+            Some(Ok(Some(body))) => body,
+            Some(Ok(None)) => return error_and_close(StatusCode::BAD_REQUEST, "the body can't be read"),
+            Some(Err(_)) => return error_and_close(StatusCode::REQUEST_TIMEOUT, "the body does not come"),
+            None => {
+                tracing::debug!(message.trace, size, "no memory to wait for the body");
+                return and_close(unavailable(None));
             }
-            Ok(Err(_)) => return error_and_close(StatusCode::BAD_REQUEST, "the body can't be read"),
-            Err(_) => return error_and_close(StatusCode::REQUEST_TIMEOUT, "the body does not come"),
         };
         let (reply, answer) = oneshot::channel();
         if self.core.try_send(Input::Submit { message, deadline, reply }).is_err() {
@@ -360,6 +398,18 @@
     }
 }
 
+/// Reads a body of `size` bytes. `None` if it ends early or cannot be read. Its pieces are copied as they arrive,
+/// because they are slices of far larger buffers.
+async fn read_body(mut body: Incoming, size: usize) -> Option<Bytes> {
+    let mut bytes = Vec::with_capacity(size);
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame.ok()?.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+    }
+    (bytes.len() == size).then(|| bytes.into())
+}
+
 /// An HTTP server with the limits on message heads.
 fn http_builder() -> Builder {
     let mut builder = Builder::new();
@@ -367,42 +417,12 @@
     builder
 }
 
-fn text_response(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
-    *response.status_mut() = status;
-    response
-}
-
-/// An error response that closes the connection, because the request body was not read or its length cannot
-/// be trusted.
-fn error_and_close(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    and_close(text_response(status, text))
-}
-
-fn and_close(mut response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
-    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-    response
-}
-
-fn method_not_allowed(allowed: &'static str) -> Response<Full<Bytes>> {
-    let mut response = error_and_close(StatusCode::METHOD_NOT_ALLOWED, "");
-    response.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
-    response
-}
-
-fn unavailable(retry_after: Option<Duration>) -> Response<Full<Bytes>> {
-    let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, "");
-    let seconds = retry_after.unwrap_or(Duration::from_secs(1)).as_secs_f64();
-    if let Ok(value) = HeaderValue::from_str(&format!("{seconds:.3}")) {
-        response.headers_mut().insert(RETRY_AFTER, value);
-    }
-    response
-}
-
-/// Answers any request on a connection beyond the limit with a 503.
+/// Answers a connection beyond the limit with a 503 once something has arrived on it.
 async fn reject_connection<S: Stream>(socket: Rc<Socket<S>>) {
-    let service = service_fn(|_| async { Ok::<_, Infallible>(and_close(unavailable(None))) });
-    let connection = http_builder().serve_connection(TokioIo::new(SocketIo(socket.clone())), service);
-    let _ = timeout(REJECT_TIMEOUT, connection).await;
+    let answer = async {
+        socket.wait_readable().await;
+        let _ = socket.write_all(UNREAD_REQUEST_REFUSED).await;
+    };
+    let _ = timeout(REJECT_TIMEOUT, answer).await;
     let _ = timeout(REJECT_TIMEOUT, socket.close(CLOSE_MAX_BYTES)).await;
 }
--- a/crates/serve/nickelshed/src/socket.rs
+++ b/crates/serve/nickelshed/src/socket.rs
@@ -129,6 +129,23 @@
         state
     }
 
+    /// Waits until unread data, the end of the stream or an error is waiting.
+    pub async fn wait_readable(&self) {
+        let _ = poll_fn(|cx| self.stream.poll_readable(cx)).await;
+    }
+
+    /// Writes bytes without the HTTP library, which must not use the socket any more.
+    ///
+    /// # Errors
+    /// If the connection no longer exists.
+    pub async fn write_all(&self, mut bytes: &[u8]) -> io::Result<()> {
+        while !bytes.is_empty() {
+            let written = poll_fn(|cx| self.stream.poll_write(cx, &[IoSlice::new(bytes)])).await?;
+            bytes = &bytes[written..];
+        }
+        Ok(())
+    }
+
     /// Shuts down the sending side; reading remains possible.
     ///
     /// # Errors
@@ -142,6 +159,11 @@
         self.received_head.borrow().clone().unwrap_or_default()
     }
 
+    /// Whether unread bytes are waiting. Asks the operating system, because the runtime may not know yet.
+    pub fn has_unread_bytes(&self) -> bool {
+        self.read_state() == ReadState::Data
+    }
+
     /// Whether unread data or the end of the stream is waiting. Asks the operating system, because the
     /// runtime may not know yet.
     pub fn has_unread_data(&self) -> bool {
@@ -155,7 +177,8 @@
         if self.stream.shutdown_write().is_err() {
             return;
         }
-        let mut buffer = [0; 4096];
+        // On the heap, so that a connection that is not closing does not hold it.
+        let mut buffer = vec![0; 4096];
         let mut left = max_bytes;
         while left > 0 {
             match poll_fn(|cx| self.stream.poll_read(cx, &mut buffer)).await {
