Ask a shared discovery again within the six seconds in which a change counts as told

Cause: schedule.rs drew the pause after a rejection from two polling cycles (up to 40 s) and the delay of the first request from one. Change: no pause is longer than 3.75 s; at the maximum, pauses after rejections come from the upper quarter of their range. Why it works: what remains of the 6 s covers a slow answer (2 s) and a hold-up (0.15 s), whatever the number of senders or rejections.

--- a/crates/serve/nickelshed/src/discovery/schedule.rs
+++ b/crates/serve/nickelshed/src/discovery/schedule.rs
@@ -8,29 +8,30 @@
 //! reached, in either mode and whatever failed before. Three steps together must take less than that: a
 //! request that was sent as discovery recovered and is lost, the pause after it, and the next answer.
 //!
-//! A shared discovery that gets more requests than it can answer rejects some, and rejected requests cost it
-//! as much work as the others. A single sender that retries immediately does no harm; a hundred of them keep
-//! discovery overloaded for good. Pauses are therefore drawn at random between zero and a ceiling that
-//! depends on the size of the fleet: `CYCLE_TIME_PER_SENDER` times the number of senders, doubled with each
-//! consecutive failure, up to `MAX_BACKOFF_SHARED`. The ceiling is higher only when discovery is shared by
-//! many senders and rejects this one: with that many, retries within six seconds are what keeps it
-//! overloaded, and no sender would get an update at all. For the same reason a sender that has a cached list
-//! does not ask right at startup, when all the others may be starting too.
+//! A shared discovery that gets more requests than it can answer rejects some, and rejected requests may cost
+//! it as much work as the others. It can answer the whole fleet once in two to eight seconds, whatever the size
+//! of the fleet. Pauses are therefore drawn at random, and their ceiling grows with the size of the fleet and
+//! with each consecutive failure: `CYCLE_TIME_PER_SENDER` times the number of senders, doubled with each
+//! failure. No pause may exceed what the six seconds leave, however many senders there are, because a rejection
+//! says nothing about how long discovery will reject. Once the ceiling after a rejection has reached its
+//! maximum, pauses are drawn from the upper quarter of their range, which is the lowest rate of requests that
+//! keeps to the six seconds, and low enough to let an overloaded discovery recover. For the same reason a
+//! sender that has a cached list does not ask right at startup, when all the others may be starting too.
 use nickelshed_settings::DiscoveryMode;
 use std::time::Duration;
 
 /// The time that each sender adds to a polling cycle, in which the whole fleet asks a shared discovery once.
 const CYCLE_TIME_PER_SENDER: Duration = Duration::from_millis(50);
-const MAX_POLLING_CYCLE: Duration = Duration::from_secs(20);
 /// The lowest backoff ceiling, and the highest in each mode. They are low because a sender is expected to
 /// know an update within seconds.
 const MIN_BACKOFF_CEILING: Duration = Duration::from_millis(100);
 const MAX_BACKOFF_SHARED: Duration = Duration::from_millis(2_800);
 const MAX_BACKOFF_AGENT: Duration = Duration::from_millis(400);
-/// The backoff ceiling after a shared discovery rejected this sender, if a polling cycle takes longer than
-/// `MAX_BACKOFF_SHARED`: this many cycles, but at most `MAX_BACKOFF_OVERLOADED`.
-const OVERLOADED_CYCLES: u32 = 2;
-const MAX_BACKOFF_OVERLOADED: Duration = Duration::from_secs(40);
+/// The longest delay of a request after startup with a cached list, after a premature answer, and after a
+/// rejection. It leaves two seconds of the six for a slow answer.
+const MAX_REQUEST_DELAY: Duration = Duration::from_millis(3_700);
+/// The lowest pause after a rejection, as a fraction of the ceiling, once that is `MAX_REQUEST_DELAY`.
+const MIN_OVERLOAD_PAUSE_FRACTION: f64 = 0.75;
 /// How long an answer may take in addition to the requested wait. An agent answers at once; a shared
 /// discovery holds requests for up to two seconds before it rejects them.
 const ANSWER_TIMEOUT_SHARED: Duration = Duration::from_millis(3_000);
@@ -45,8 +46,6 @@
 /// How long a watch waits for changes. It is short because a watch that is open when discovery fails may
 /// never be answered.
 const WATCH_WAIT: Duration = Duration::from_secs(5);
-/// The longest pause after a shared discovery answered a watch prematurely and without changes.
-const MAX_PREMATURE_PAUSE: Duration = Duration::from_secs(5);
 
 /// Why a request did not return a list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -75,14 +74,14 @@
         let others = u32::try_from(sender_count.saturating_sub(1)).unwrap_or(u32::MAX);
         let polling_cycle = match mode {
             DiscoveryMode::Agent => Duration::ZERO,
-            DiscoveryMode::Shared => CYCLE_TIME_PER_SENDER.saturating_mul(others).min(MAX_POLLING_CYCLE),
+            DiscoveryMode::Shared => CYCLE_TIME_PER_SENDER.saturating_mul(others),
         };
         RequestSchedule { mode, polling_cycle, failures: 0, random: fastrand::Rng::with_seed(seed) }
     }
 
     /// The delay after startup until a sender with a cached list first asks for changes.
     pub fn initial_delay(&mut self) -> Duration {
-        self.polling_cycle.mul_f64(self.random.f64())
+        self.polling_cycle.min(MAX_REQUEST_DELAY).mul_f64(self.random.f64())
     }
 
     /// How long an answer may take in addition to the requested wait before the request has failed. A first
@@ -129,7 +128,8 @@
         match self.mode {
             DiscoveryMode::Agent => MIN_BACKOFF_CEILING,
             DiscoveryMode::Shared => {
-                MIN_BACKOFF_CEILING + self.polling_cycle.min(MAX_PREMATURE_PAUSE).mul_f64(self.random.f64())
+                let spread = self.polling_cycle.min(MAX_REQUEST_DELAY - MIN_BACKOFF_CEILING);
+                MIN_BACKOFF_CEILING + spread.mul_f64(self.random.f64())
             }
         }
     }
@@ -142,19 +142,17 @@
     /// The pause after a failed request.
     pub fn failed(&mut self, failure: Failure) -> Duration {
         let doubled = self.polling_cycle.max(MIN_BACKOFF_CEILING).saturating_mul(1 << self.failures.min(16));
-        let is_overloaded = failure == Failure::Rejected && self.polling_cycle > MAX_BACKOFF_SHARED;
         let ceiling = match self.mode {
             _ if failure == Failure::ListTooLarge => MAX_BACKOFF_SHARED,
             DiscoveryMode::Agent => doubled.min(MAX_BACKOFF_AGENT),
-            DiscoveryMode::Shared if is_overloaded => {
-                (OVERLOADED_CYCLES * self.polling_cycle).min(MAX_BACKOFF_OVERLOADED)
-            }
+            DiscoveryMode::Shared if failure == Failure::Rejected => doubled.min(MAX_REQUEST_DELAY),
             DiscoveryMode::Shared => doubled.min(MAX_BACKOFF_SHARED),
         };
+        let lowest = if ceiling == MAX_REQUEST_DELAY { MIN_OVERLOAD_PAUSE_FRACTION } else { 0.0 };
         self.failures = self.failures.saturating_add(1);
         // Never zero: a request that fails immediately would otherwise be repeated as fast as the process
         // can.
-        MIN_BACKOFF_CEILING / 2 + ceiling.mul_f64(self.random.f64())
+        MIN_BACKOFF_CEILING / 2 + ceiling.mul_f64(lowest + (1.0 - lowest) * self.random.f64())
     }
 }
 
