Soak: let a close count before a later request whichever thread sees it first

A close that comes up to 50 ms behind a request was meant to count as before it, but only if the thread of the request asked first. The bound is unchanged; a close later than 50 ms still breaks the rule.

--- a/crates/proof/nickelshed-soak/src/endpoint.rs
+++ b/crates/proof/nickelshed-soak/src/endpoint.rs
@@ -32,12 +32,20 @@
     reports_load: bool,
     random: Mutex<fastrand::Rng>,
     history: History,
-    /// Calls without an end, by the id of their message.
-    open_calls: Mutex<HashMap<String, Vec<(u64, TcpStream)>>>,
+    calls: Mutex<Calls>,
     /// Idempotency keys of the messages that have taken effect.
     executed_keys: Mutex<HashSet<String>>,
 }
 
+/// The calls of an endpoint, by the id of their message.
+#[derive(Default)]
+struct Calls {
+    /// Calls without an end.
+    open: HashMap<String, Vec<(u64, TcpStream)>>,
+    /// When the last call that ended with the close of its connection was seen to end.
+    closed_at: HashMap<String, Instant>,
+}
+
 impl SoakEndpoint {
     /// `faulty_answers` is the fraction of the answers that are struck by a fault.
     pub fn start(dest: u64, seed: u64, faulty_answers: f64, history: History) -> SoakEndpoint {
@@ -49,7 +57,7 @@
             reports_load: (seed + dest).is_multiple_of(2),
             random: Mutex::new(fastrand::Rng::with_seed(seed.wrapping_mul(31) + dest)),
             history,
-            open_calls: Mutex::default(),
+            calls: Mutex::default(),
             executed_keys: Mutex::default(),
         });
         std::thread::spawn(move || {
@@ -96,8 +104,15 @@
     }
 
     fn begin_call(&self, call: u64, request: &HttpMessage, stream: &TcpStream) {
-        let (id, at) = (request.message_id(), request.received_at);
-        let earlier = self.open_calls.lock().unwrap().remove(id).unwrap_or_default();
+        let (id, received_at) = (request.message_id(), request.received_at);
+        let (earlier, closed_at) = {
+            let mut calls = self.calls.lock().unwrap();
+            (calls.open.remove(id).unwrap_or_default(), calls.closed_at.get(id).copied())
+        };
+        // The threads of two connections may see the close of one and the request on the other in either order.
+        let closed_meanwhile =
+            closed_at.filter(|at| (received_at..received_at + CLOSE_ARRIVAL_TIME).contains(at));
+        let at = closed_meanwhile.map_or(received_at, |closed_at| closed_at + Duration::from_micros(1));
         for (earlier_call, earlier_stream) in earlier {
             if is_closed_within(&earlier_stream, CLOSE_ARRIVAL_TIME) {
                 let closed_at = at.checked_sub(Duration::from_micros(1)).unwrap_or(at);
@@ -118,18 +133,21 @@
         };
         self.history.record_at(at, kind);
         if let Ok(stream) = stream.try_clone() {
-            self.open_calls.lock().unwrap().entry(id.to_string()).or_default().push((call, stream));
+            self.calls.lock().unwrap().open.entry(id.to_string()).or_default().push((call, stream));
         }
     }
 
     /// Records the end of a call, unless a later call for the same message has recorded it.
     fn end_call(&self, call: u64, id: &str, at: Instant, end: CallEnd) {
-        let mut open_calls = self.open_calls.lock().unwrap();
-        let Some(calls) = open_calls.get_mut(id) else { return };
-        let Some(position) = calls.iter().position(|(open, _)| *open == call) else { return };
-        calls.remove(position);
-        if calls.is_empty() {
-            open_calls.remove(id);
+        let mut calls = self.calls.lock().unwrap();
+        let Some(open) = calls.open.get_mut(id) else { return };
+        let Some(position) = open.iter().position(|(open, _)| *open == call) else { return };
+        open.remove(position);
+        if open.is_empty() {
+            calls.open.remove(id);
+        }
+        if end == CallEnd::Closed {
+            calls.closed_at.insert(id.to_string(), at);
         }
         self.history.record_at(at, EventKind::Over { call, end });
     }
