Count an answer that arrives while the process is held up, although its call ends

Cause: timers run before the runtime knows which sockets are readable; take_received asked the runtime, so what had arrived was dropped. Change: a call that is to end lets the library read what has arrived, for 20 ms; take_received reads from the system (Stream::read_available). Why it works: whether data has arrived is asked of the operating system before anything is decided from its absence.

--- a/crates/proof/nickelshed-lab/src/network.rs
+++ b/crates/proof/nickelshed-lab/src/network.rs
@@ -218,6 +218,13 @@
         }
     }
 
+    fn read_available(&self, buffer: &mut [u8]) -> io::Result<usize> {
+        match self {
+            LabStream::Simulated(stream) => stream.read_available(buffer),
+            LabStream::Real(stream) => stream.read_available(buffer),
+        }
+    }
+
     fn poll_write(&self, cx: &mut Context<'_>, parts: &[IoSlice<'_>]) -> Poll<io::Result<usize>> {
         match self {
             LabStream::Simulated(stream) => stream.poll_write(cx, parts),
--- a/crates/proof/nickelshed-lab/src/sim_network.rs
+++ b/crates/proof/nickelshed-lab/src/sim_network.rs
@@ -594,6 +594,14 @@
         self.read_now(cx, &mut []).map(|_| Ok(()))
     }
 
+    fn read_available(&self, buffer: &mut [u8]) -> io::Result<usize> {
+        let mut context = Context::from_waker(Waker::noop());
+        match self.poll_read(&mut context, buffer) {
+            Poll::Ready(result) => result,
+            Poll::Pending => Err(ErrorKind::WouldBlock.into()),
+        }
+    }
+
     fn poll_write(&self, cx: &mut Context<'_>, parts: &[IoSlice<'_>]) -> Poll<io::Result<usize>> {
         as_step(self.process_state.as_ref(), || self.write_now(cx, parts)).unwrap_or(Poll::Pending)
     }
--- a/crates/proof/nickelshed-lab/src/sockets.rs
+++ b/crates/proof/nickelshed-lab/src/sockets.rs
@@ -181,6 +181,10 @@
         Stream::poll_readable(&self.tcp, cx)
     }
 
+    fn read_available(&self, buffer: &mut [u8]) -> io::Result<usize> {
+        self.tcp.read_available(buffer)
+    }
+
     fn poll_write(&self, cx: &mut Context<'_>, parts: &[IoSlice<'_>]) -> Poll<io::Result<usize>> {
         Stream::poll_write(&self.tcp, cx, parts)
     }
--- a/crates/serve/nickelshed-host/src/lib.rs
+++ b/crates/serve/nickelshed-host/src/lib.rs
@@ -94,6 +94,13 @@
     /// is woken.
     fn poll_readable(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>>;
 
+    /// Reads what has arrived, without waiting. Asks the operating system, because the runtime may not know yet.
+    /// `Ok(0)` means the same as in `poll_read`.
+    ///
+    /// # Errors
+    /// [`io::ErrorKind::WouldBlock`] if nothing has arrived, otherwise as a read.
+    fn read_available(&self, buffer: &mut [u8]) -> io::Result<usize>;
+
     /// Writes some or all of the bytes, in order, and returns how many. Only the task that polled last is
     /// woken.
     fn poll_write(&self, cx: &mut Context<'_>, buffers: &[IoSlice<'_>]) -> Poll<io::Result<usize>>;
--- a/crates/serve/nickelshed-host/src/system.rs
+++ b/crates/serve/nickelshed-host/src/system.rs
@@ -1,7 +1,7 @@
 //! The traits implemented on the operating system: TCP and UDP sockets of Tokio, and the system's clocks.
 use crate::{DatagramSocket, Host, Listener, ReadState, Stream};
 use socket2::SockRef;
-use std::io::{self, IoSlice};
+use std::io::{self, IoSlice, Read};
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
 use std::task::{ready, Context, Poll};
@@ -102,6 +102,10 @@
         }
     }
 
+    fn read_available(&self, buffer: &mut [u8]) -> io::Result<usize> {
+        uninterrupted(|| (&*SockRef::from(self)).read(buffer))
+    }
+
     fn poll_write(&self, cx: &mut Context<'_>, buffers: &[IoSlice<'_>]) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.poll_write_ready(cx))?;
--- a/crates/serve/nickelshed/src/calls.rs
+++ b/crates/serve/nickelshed/src/calls.rs
@@ -2,18 +2,18 @@
 mod answer;
 mod unanswered;
 
-use crate::answer_head::{bytes_behind_answer, final_head, outcome_of_status};
+use crate::answer_head::{bytes_behind_answer, final_head, outcome_of_status, received_status};
 use crate::connections::{request, CloseReason, Connection, Fault};
 use crate::inbox::Input;
 use crate::pool::Pool;
 use crate::provisional::AttemptId;
-use crate::socket::Socket;
+use crate::socket::{Socket, ARRIVED_DATA_TIMEOUT};
 use crate::stall_detector::StallDetector;
 use answer::{attempt_ends, load_report, retry_after, Answer};
 use base64::Engine;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::header::CONNECTION;
+use hyper::header::{HeaderMap, CONNECTION};
 use hyper::Request;
 use nickelshed_host::{Host, Stream};
 use nickelshed_journal::{AcceptedMessage, MAX_BODY_BYTES};
@@ -27,7 +27,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, Notify};
-use tokio::time::{sleep_until, timeout, Instant};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 use unanswered::UnansweredCall;
 
 /// Time limit for the head of an answer, counted from its first byte. Some endpoints never finish an answer,
@@ -181,16 +181,24 @@
                 endpoint, connection = connection.number, ?idle, messages = ?trace_ids(&entries), "calling"
             );
             let answer = {
+                // Dropped before the connection is closed, since the socket closes with its last owner.
+                let socket = connection.socket.clone();
                 let mut answer = pin!(self.send_and_read(&mut connection, request, endpoint, is_batch));
                 loop {
-                    tokio::select! {
+                    let is_cancelled = tokio::select! {
                         biased;
                         answer = &mut answer => break Ok(answer),
-                        () = cancel.cancelled() => {
-                            let unfinished = std::mem::take(&mut entries);
-                            break Err((unfinished, Outcome::CalledOff, CloseReason::Cancelled))
+                        () = cancel.cancelled() => true,
+                        () = sleep_until(next_deadline(&entries, close_at)) => false,
+                    };
+                    if socket.has_unread_data() {
+                        if let Ok(answer) = timeout(ARRIVED_DATA_TIMEOUT, &mut answer).await {
+                            break Ok(answer);
                         }
-                        () = sleep_until(next_deadline(&entries, close_at)) => {}
+                    }
+                    if is_cancelled {
+                        let unfinished = std::mem::take(&mut entries);
+                        break Err((unfinished, Outcome::CalledOff, CloseReason::Cancelled));
                     }
                     let expired = take_expired(&mut entries, Some(close_at));
                     if entries.is_empty() {
@@ -392,7 +400,10 @@
                 }
                 Ok(Err(Fault::Interrupted(_))) => (Outcome::ConnectionLost, None),
                 Ok(Err(_)) => (Outcome::NoConnection, None),
-                Err(_) => (Outcome::NoAnswer, None),
+                Err(_) => match received_status(&connection.socket.take_received()) {
+                    Some(status) => (outcome_of_status(status, &HeaderMap::new()).0, None),
+                    None => (Outcome::NoAnswer, None),
+                },
             };
         self.report_probe(endpoint, outcome, report).await;
     }
@@ -506,6 +517,9 @@
             None => socket.readable.notified().await,
             Some(first_byte_at) => {
                 sleep_until(first_byte_at + HEAD_TIMEOUT).await;
+                if socket.has_unread_data() {
+                    sleep(ARRIVED_DATA_TIMEOUT).await;
+                }
                 if !final_head(&socket.received_head()).is_empty() {
                     return;
                 }
--- a/crates/serve/nickelshed/src/server.rs
+++ b/crates/serve/nickelshed/src/server.rs
@@ -5,7 +5,7 @@
 mod responses;
 
 use crate::inbox::{Input, Reply};
-use crate::socket::{Socket, SocketIo, MAX_HEADERS, MAX_HEAD_BYTES};
+use crate::socket::{Socket, SocketIo, ARRIVED_DATA_TIMEOUT, MAX_HEADERS, MAX_HEAD_BYTES};
 use crate::watch;
 use bytes::Bytes;
 use client::ClientConnection;
@@ -252,11 +252,15 @@
                 () = socket.readable.notified() => {}
                 // While a request is being answered, its own time limit applies.
                 () = sleep_until(client.deadline()), if !client.is_busy() => {
-                    if Instant::now() >= client.deadline()
-                        && !(client.is_idle() && socket.has_unread_data())
+                    // What has arrived is read first: a request may be complete with it.
+                    if socket.has_unread_data()
+                        && timeout(ARRIVED_DATA_TIMEOUT, connection.as_mut()).await.is_ok()
                     {
                         return ConnectionEnd::Finished;
                     }
+                    if Instant::now() >= client.deadline() && !client.is_busy() {
+                        return ConnectionEnd::Finished;
+                    }
                 }
             }
         }
--- a/crates/serve/nickelshed/src/socket.rs
+++ b/crates/serve/nickelshed/src/socket.rs
@@ -6,7 +6,8 @@
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{ready, Context, Poll, Waker};
+use std::task::{ready, Context, Poll};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -14,6 +15,9 @@
 /// Maximum size in bytes of a message head in either direction; twice the smallest that the HTTP library
 /// allows.
 pub const MAX_HEAD_BYTES: usize = 16 << 10;
+/// How long a connection that is to end waits for the HTTP library to read what has arrived on it: after the
+/// process was held up, timers run before the runtime knows of it.
+pub const ARRIVED_DATA_TIMEOUT: Duration = Duration::from_millis(20);
 /// Maximum number of header lines in a head.
 pub const MAX_HEADERS: usize = 64;
 
@@ -101,15 +105,18 @@
     }
 
     /// What has been received of the current answer, or as unsolicited data, up to `MAX_HEAD_BYTES` bytes, with
-    /// what can be read without waiting. Nothing else may read the connection any more.
+    /// what has arrived and was not read yet. Nothing else may read the connection any more.
     pub fn take_received(&self) -> Vec<u8> {
         let mut data = self.received_head.take().unwrap_or_default();
         let mut buffer = [0; 4096];
-        let mut context = Context::from_waker(Waker::noop());
         while data.len() < MAX_HEAD_BYTES {
-            match self.stream.poll_read(&mut context, &mut buffer) {
-                Poll::Ready(Ok(count @ 1..)) => data.extend_from_slice(&buffer[..count]),
-                Poll::Ready(Ok(0) | Err(_)) | Poll::Pending => break,
+            match self.stream.read_available(&mut buffer) {
+                Ok(count @ 1..) => data.extend_from_slice(&buffer[..count]),
+                Ok(0) => break,
+                Err(error) => {
+                    self.has_failed.set(self.has_failed.get() || error.kind() != io::ErrorKind::WouldBlock);
+                    break;
+                }
             }
         }
         data
