--- a/crates/serve/nickelshed/src/server.rs
+++ b/crates/serve/nickelshed/src/server.rs
@@ -213,7 +213,12 @@
         mut stop: watch::Receiver<bool>,
     ) -> ConnectionEnd {
         // The HTTP library allocates its buffers when it first reads; many clients connect and say nothing.
-        if !client.first_bytes().await {
+        let has_bytes = tokio::select! {
+            biased;
+            has_bytes = client.first_bytes() => has_bytes,
+            () = stop.wait_for(true) => client.socket.has_unread_bytes(),
+        };
+        if !has_bytes {
             return ConnectionEnd::Finished;
         }
         let Some(_memory) = self.reserve_memory(client).await else { return ConnectionEnd::Refused };
--- a/crates/serve/nickelshed/tests/client_memory.rs
+++ b/crates/serve/nickelshed/tests/client_memory.rs
@@ -122,3 +122,17 @@
     );
     assert_memory_limit_holds("little memory", 16, 256, &[HALF_BODY, SILENT], 120);
 }
+
+/// Guards against a shutdown that leaves connections open on which a request could still be lost.
+#[test]
+fn connections_on_which_nothing_has_arrived_are_closed_when_the_sender_shuts_down() {
+    let discovery = Discovery::new(json!([]));
+    let mut sender = SenderProcess::start(PROGRAM, &discovery);
+    let mut silent = TcpStream::connect(sender.address).unwrap();
+    silent.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    std::thread::sleep(Duration::from_millis(50));
+    let begin = Instant::now();
+    sender.terminate();
+    assert_eq!(silent.read(&mut [0; 16]).unwrap(), 0);
+    assert!(begin.elapsed() < Duration::from_millis(1_200), "closed after {:?}", begin.elapsed());
+}
