--- a/crates/proof/nickelshed-testkit/src/sender_process.rs
+++ b/crates/proof/nickelshed-testkit/src/sender_process.rs
@@ -51,7 +51,7 @@
     let process = std::process::id();
     let ip = [127, 100 + (process % 100) as u8, (process / 100 % 250) as u8, 1 + (number % 250) as u8];
     // The two processes out of 50,000 that have the same addresses use different ports.
-    let first_port = if process / 25_000 % 2 == 0 { 20_000 } else { 25_000 };
+    let first_port = if (process / 25_000).is_multiple_of(2) { 20_000 } else { 25_000 };
     SocketAddr::from((ip, first_port + (number % 5_000) as u16))
 }
 
