Review: add case 7, refusals without a report begin no slow start

Cause: where answers may hold reports, a 503 without a report and without a wait is taken for one of an endpoint whose connections are exhausted, and is no failure. A destination without a limit sends no reports, so while it is shut none of its refusals counts. Change: review/7 (claim and script).

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -2,6 +2,7 @@
 //! and exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` in the
 //! environment it does the same without the disruption.
 mod case_6;
+mod case_7;
 mod customer;
 mod ebene;
 mod http;
@@ -39,6 +40,7 @@
     let record = run.record.clone();
     let verdict = std::fs::create_dir_all(&folder).map_err(|e| e.to_string()).and_then(|()| match case.as_str() {
         "6" => case_6::run(run),
+        "7" => case_7::run(run),
         _ => Err(format!("no case {case}")),
     });
     let (code, seen) = match verdict {
