--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -3,6 +3,7 @@
 //! environment it does the same without the disruption.
 mod case_6;
 mod case_7;
+mod case_8;
 mod customer;
 mod ebene;
 mod http;
@@ -41,6 +42,7 @@
     let verdict = std::fs::create_dir_all(&folder).map_err(|e| e.to_string()).and_then(|()| match case.as_str() {
         "6" => case_6::run(run),
         "7" => case_7::run(run),
+        "8" => case_8::run(run),
         _ => Err(format!("no case {case}")),
     });
     let (code, seen) = match verdict {
