--- a/review/standins-2/src/case_8.rs
+++ b/review/standins-2/src/case_8.rs
@@ -8,6 +8,7 @@
 
 pub fn run(run: Run) -> Result<Verdict, String> {
     let deployment = Deployment::start(&run, "venue-systems", 100)?;
+    deployment.begin_other_traffic();
     sleep(Duration::from_secs(2));
     let length = Duration::from_secs(9);
     if run.trouble {
--- a/review/standins-2/src/case_9.rs
+++ b/review/standins-2/src/case_9.rs
@@ -8,6 +8,7 @@
 
 pub fn run(run: Run) -> Result<Verdict, String> {
     let deployment = Deployment::start(&run, "host-hooks", 4)?;
+    deployment.begin_other_traffic();
     sleep(Duration::from_secs(2));
     if run.trouble {
         deployment.partner.begin_outage(Outage::Silent);
--- a/review/standins-2/src/customer.rs
+++ b/review/standins-2/src/customer.rs
@@ -197,7 +197,9 @@
 
 /// Whether more calls have come since the return, in the window that ends now, than it stands.
 fn has_too_many(state: &State, model: Model) -> bool {
-    let Some(returned_at) = state.returned_at.filter(|at| at.elapsed() <= model.warm_up) else { return false };
+    let Some(returned_at) = state.returned_at.filter(|at| at.elapsed() <= model.warm_up) else {
+        return false;
+    };
     let is_counted = |a: &&Arrival| a.at >= returned_at && a.at.elapsed() <= model.fall_window;
     state.arrivals.iter().filter(is_counted).count() as f64 > model.allowed(returned_at.elapsed())
 }
--- a/review/standins-2/src/ebene.rs
+++ b/review/standins-2/src/ebene.rs
@@ -35,6 +35,7 @@
 pub type Class = (&'static str, u64);
 pub const RSVP_FORWARD: Class = ("rsvp-forward", 28_000);
 pub const GUEST_STATUS: Class = ("guest-status", 5_000);
+pub const TICKET_CHARGE: Class = ("ticket-charge", 24_000);
 
 pub struct Deployment {
     pub partner: Customer,
@@ -46,7 +47,7 @@
 }
 
 impl Deployment {
-    /// Starts the senders, and the traffic of the other partner.
+    /// Starts the senders.
     pub fn start(run: &Run, kind: &'static str, tells_one_in: usize) -> Result<Deployment, String> {
         // Ten calls a second when warm. No limit but its capacity, so its answers carry no report.
         let model = Model {
@@ -74,7 +75,12 @@
         let clients: Vec<(String, Arc<Clients>)> =
             senders.iter().map(|s| (s.name.clone(), Clients::new(s, run.record.clone()))).collect();
         let is_over = Arc::new(AtomicBool::new(false));
-        let (over, others) = (is_over.clone(), clients.clone());
+        Ok(Deployment { partner, senders, clients, is_over, _discovery: discovery, _other: other })
+    }
+
+    /// Begins the traffic of the other partner.
+    pub fn begin_other_traffic(&self) {
+        let (over, others) = (self.is_over.clone(), self.clients.clone());
         std::thread::spawn(move || {
             let start = Instant::now();
             let mut number = 0;
@@ -85,7 +91,13 @@
                 sleep(due.saturating_duration_since(Instant::now()));
             }
         });
-        Ok(Deployment { partner, senders, clients, is_over, _discovery: discovery, _other: other })
+    }
+
+    /// SIGKILL for all senders, and a new start 0.6 s later.
+    pub fn kill_and_restart(&mut self) -> Result<(), String> {
+        self.senders.iter_mut().for_each(Sender::kill);
+        sleep(Duration::from_millis(600));
+        self.senders.iter_mut().try_for_each(Sender::restart)
     }
 
     /// Hands in messages for the partner under test to all senders in turn.
--- a/review/standins-2/src/platform.rs
+++ b/review/standins-2/src/platform.rs
@@ -258,7 +258,12 @@
 
 impl Clients {
     pub fn new(sender: &Sender, record: Record) -> Arc<Clients> {
-        Arc::new(Clients { address: sender.address, idle: Mutex::default(), accepted: Mutex::default(), record })
+        Arc::new(Clients {
+            address: sender.address,
+            idle: Mutex::default(),
+            accepted: Mutex::default(),
+            record,
+        })
     }
 
     /// The messages for a destination that the sender has taken on.
