--- a/review/standins-2/src/customer.rs
+++ b/review/standins-2/src/customer.rs
@@ -7,6 +7,9 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
+/// How long a call and its answer are on their way, by the two site files (5 to 15 ms, and 8 to 30 ms, one way).
+const ROUND_TRIP: Duration = Duration::from_millis(20);
+
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Outage {
     /// Answers 503 to each call until it opens, so long after the beginning.
@@ -96,7 +99,11 @@
             State { outage, returned_at, began_at, busy, waiting, refusals, arrivals, has_fallen, runs };
         let state = Arc::new((Mutex::new(state), Condvar::new()));
         let (shared, noted) = (state.clone(), record.clone());
-        let address = http::serve(move |request: &Message, _| handle(request, model, &shared, &noted));
+        let address = http::serve(move |request: &Message, _| {
+            let reply = handle(request, model, &shared, &noted);
+            std::thread::sleep(ROUND_TRIP);
+            reply
+        });
         Customer { address, model, state, record }
     }
 
