Write an outage to the folder when it is learned, not in a later iteration

Cause: persist_outages looked for changes at the end of an iteration unless the last look was under 200 ms ago, and nothing woke the event loop for what was left; a sender at rest has no later iteration. Change: the policy counts what a next process must know at once (outage_revision); that is written in the iteration in which it is learned. Other changes wait up to 200 ms, and the loop wakes up for them. Failed writes are repeated. An outage without an end is kept at any age by the wall clock, which may be stepped. Why it works: no iteration that learns of an outage ends without a write, so there is no moment at which a kill can lose it. Test: an_outage_seen_just_before_a_kill_limits_the_next_process fails without the change (run), and passes with it. The second test, with a failing disk, passed before as well: the repeated writes of messages happened to cover it.

--- a/crates/decide/nickelshed-policy/src/recovery.rs
+++ b/crates/decide/nickelshed-policy/src/recovery.rs
@@ -77,6 +77,14 @@
         self.recovered_at >= self.last_failure
     }
 
+    /// Returns when the route recovered from the outage that is known of, or will recover as announced;
+    /// `Ns::MAX` if it has not, and None if no outage is known.
+    pub fn known_recovery(&self) -> Option<Ns> {
+        let is_known = self.suspect || self.in_slow_start;
+        let has_recovered = self.has_recovered() && !self.suspect;
+        is_known.then_some(if has_recovered { self.recovered_at } else { Ns::MAX })
+    }
+
     /// Returns the calls a second that this sender may make in slow start. Until something is served, a large
     /// fleet stays at the initial rate; in a small one it rises from the last failure, as it probes often.
     pub fn slow_start_rate(&self, cfg: &Settings, now: Ns) -> f64 {
--- a/crates/decide/nickelshed-policy/src/rules.rs
+++ b/crates/decide/nickelshed-policy/src/rules.rs
@@ -129,6 +129,8 @@
     exhausted_at: BTreeMap<usize, Ns>,
     /// When the next queued message has too little time left for a call.
     expiry_at: Ns,
+    /// See `Sender::outage_revision`.
+    outage_revision: u64,
     /// When `prune` and `run_control_period` last ran.
     pruned_at: Ns,
     control_at: Ns,
@@ -568,7 +570,9 @@
     fn on_signal(&mut self, id: RouteId, signal: FailureSignal) {
         let (draw, arrivals) = (self.random(), self.arrival_rate(id.0));
         if let Some(route) = self.routes.get_mut(&id) {
+            let known_before = route.known_recovery();
             route.on_failure(&self.cfg, self.now, signal, arrivals, draw);
+            self.outage_revision += u64::from(route.known_recovery() > known_before);
         }
     }
 
--- a/crates/decide/nickelshed-policy/src/rules/retention.rs
+++ b/crates/decide/nickelshed-policy/src/rules/retention.rs
@@ -45,6 +45,12 @@
         })
     }
 
+    /// Returns a number that rises whenever a route begins to be listed by `outages`, or fails again after it
+    /// had recovered: what a next process would not know of without a new write.
+    pub fn outage_revision(&self) -> u64 {
+        self.outage_revision
+    }
+
     /// Restores an outage that an earlier process of this sender saw. The outage may have ended unseen, so
     /// slow start can only count from when that process last saw it.
     pub(super) fn restore_outage(&mut self, o: &Outage) {
--- a/crates/serve/nickelshed/src/core.rs
+++ b/crates/serve/nickelshed/src/core.rs
@@ -197,7 +197,8 @@
             let wake = self.timer.map(|at| self.to_instant(at));
             let wake = if self.next_events.is_empty() { wake } else { Some(Instant::now()) };
             let unwritten_wake = self.unwritten.next_attempt(self.to_ns(Instant::now()));
-            let wake = [wake, self.shutdown_deadline, unwritten_wake.map(|at| self.to_instant(at))]
+            let unwritten_wake = unwritten_wake.map(|at| self.to_instant(at));
+            let wake = [wake, self.shutdown_deadline, unwritten_wake, self.outage_store.wake_at()]
                 .into_iter()
                 .flatten()
                 .filter(|&w| self.is_wake_needed(w))
--- a/crates/serve/nickelshed/src/core/outages.rs
+++ b/crates/serve/nickelshed/src/core/outages.rs
@@ -3,11 +3,12 @@
 use super::*;
 use serde::{Deserialize, Serialize};
 
-/// Outages are written at most this often. A process that is killed may lose what it learned since the last
-/// write.
+/// Changes that a next process run can do without, such as the end of an outage, are written at most this
+/// often. A failed write is repeated after the same time.
 const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(200);
-/// An outage read back at this age is taken to be over.
-const MAX_AGE_MS: i64 = 3_600_000;
+/// A recovery read back at this age is complete. An outage without a recovery is kept at any age: the wall
+/// clock may have been stepped.
+const MAX_RECOVERY_AGE_MS: i64 = 3_600_000;
 /// The last failure of a suspect route is stored as at most this old: the route has not recovered yet.
 const MAX_SUSPECT_FAILURE_AGE: Ns = 60 * SECOND;
 
@@ -24,11 +25,24 @@
     proven_per_10s: u32,
 }
 
-/// What was written last, and when the outages were last checked for changes.
+/// What was written last, and when the outages are next checked for changes.
 #[derive(Default)]
 pub(super) struct OutageStore {
     last_written: Vec<PersistedOutage>,
-    last_checked: Option<Instant>,
+    /// `Sender::outage_revision` as of the last successful write.
+    written_revision: u64,
+    /// Changes that are not urgent are not looked for before this time.
+    next_check: Option<Instant>,
+    /// Changes may be waiting for `next_check`.
+    has_deferred_check: bool,
+    is_write_failing: bool,
+}
+
+impl OutageStore {
+    /// When the event loop has to run for a deferred check; None if there is none.
+    pub(super) fn wake_at(&self) -> Option<Instant> {
+        self.next_check.filter(|_| self.has_deferred_check)
+    }
 }
 
 /// Returns the outages with the newest failures whose encoding fits into `capacity` bytes. Their number and
@@ -55,17 +69,27 @@
 }
 
 impl<S: Storage, H: Host> Core<S, H> {
-    /// Persists the known outages if they have changed, at most once per `MIN_WRITE_INTERVAL`.
+    /// Persists the known outages if they have changed: at once if an outage is new, otherwise at most once
+    /// per `MIN_WRITE_INTERVAL`.
     pub(super) fn persist_outages(&mut self, now: Ns, wall_ms: i64) {
         let at = Instant::now();
-        if self.outage_store.last_checked.is_some_and(|last_checked| at < last_checked + MIN_WRITE_INTERVAL) {
+        let revision = self.policy.outage_revision();
+        let is_urgent = revision != self.outage_store.written_revision;
+        let is_early = self.outage_store.next_check.is_some_and(|next_check| at < next_check);
+        // After a failed write the disk is left alone until the next check, whatever is urgent.
+        let is_retry_early = is_early && self.outage_store.is_write_failing;
+        if is_retry_early || (is_early && !is_urgent) {
+            let has_outages = !self.outage_store.last_written.is_empty();
+            self.outage_store.has_deferred_check = is_urgent || has_outages;
             return;
         }
-        self.outage_store.last_checked = Some(at);
+        self.outage_store.next_check = Some(at + MIN_WRITE_INTERVAL);
+        self.outage_store.has_deferred_check = false;
         let all =
             self.policy.outages().filter_map(|outage| self.to_persisted(&outage, now, wall_ms)).collect();
         let all = newest_that_fit(all, self.journal.max_outage_snapshot_bytes());
         if all == self.outage_store.last_written {
+            self.outage_store.written_revision = revision;
             return;
         }
         for outage in all.iter().filter(|new| {
@@ -77,11 +101,17 @@
         }) {
             tracing::debug!(dest = outage.dest, endpoint = outage.endpoint, doubt = outage.suspect, "out");
         }
-        // If the write fails, the next process run only has to learn the outages again, like a sender on a
-        // new machine.
-        match self.journal.write_outage_snapshot(&encode(&all)) {
-            Ok(()) => self.outage_store.last_written = all,
-            Err(error) => tracing::debug!(%error, "cannot persist the known outages"),
+        let written = self.journal.write_outage_snapshot(&encode(&all));
+        self.outage_store.is_write_failing = written.is_err();
+        match written {
+            Ok(()) => {
+                self.outage_store.last_written = all;
+                self.outage_store.written_revision = revision;
+            }
+            Err(error) => {
+                self.outage_store.has_deferred_check = true;
+                tracing::debug!(%error, "cannot persist the known outages, trying again");
+            }
         }
     }
 
@@ -124,7 +154,7 @@
                 last_failure,
                 proven_rate: proved,
             };
-            (age < MAX_AGE_MS).then_some(Event::Outage(outage))
+            (outage.suspect || age < MAX_RECOVERY_AGE_MS).then_some(Event::Outage(outage))
         };
         persisted.into_iter().filter_map(event).collect()
     }
