Keep the precedence of recovered messages that no call was made for

What callers saw: of 4 recovered messages that had never been called for 3 got no call and were handed back, while new ones were delivered. Cause: a recovered message came before new ones only until its first attempt. One that met a refused connection, or that was recorded in the moment of the kill and not made, used that up, and in slow start new messages, with more value to lose, came first. Change: NoConnection gives the precedence back; a recovered message whose only attempt has no end keeps it.

--- a/crates/decide/nickelshed-policy/src/rules.rs
+++ b/crates/decide/nickelshed-policy/src/rules.rs
@@ -340,7 +340,9 @@
         let Some(open) = self.messages.get_mut(&message.id) else { return };
         let zone =
             |e: Option<EndpointId>| e.and_then(|e| self.endpoints.get(&e)).map_or(usize::MAX, |e| e.zone);
-        (open.unattempted, open.accepted) = (past.is_empty(), true);
+        // The only attempt may have been recorded and, as the process ended, not made.
+        open.unattempted = past.len() <= 1 && past.iter().all(|p| p.may_have_run);
+        open.accepted = true;
         open.attempts.extend(past.iter().map(|p| Attempt {
             endpoint: p.endpoint.unwrap_or(EndpointId::MAX),
             zone: zone(p.endpoint),
@@ -348,6 +350,7 @@
             sent: p.sent,
             in_flight: false,
             may_have_run: p.may_have_run,
+            was_unattempted: false,
         }));
         let class = &self.cfg.classes[message.class];
         if let (true, Some(key), true) = (class.in_order, message.key, past.iter().any(|p| p.may_have_run)) {
@@ -362,6 +365,8 @@
         let Some(attempt) = open.attempts.get_mut(e.attempt as usize).filter(|a| a.in_flight) else { return };
         attempt.in_flight = false;
         attempt.may_have_run = !e.outcome.never_ran();
+        // Nothing was called for a message whose connection was refused.
+        open.unattempted |= attempt.was_unattempted && e.outcome == Outcome::NoConnection;
         let (call_id, message, finished) = (attempt.call, open.message, open.finished || e.finished);
         let class = &self.cfg.classes[message.class];
         if let (true, true, Some(key)) = (class.in_order, e.outcome.may_still_run(), message.key) {
@@ -907,7 +912,8 @@
             let is_repeat = open.attempts.iter().any(|a| a.may_have_run);
             let write_by = if is_repeat { self.retry_until(open) } else { open.expires_at };
             let open = self.messages.get_mut(&m).expect("queued messages are known");
-            (open.unattempted, open.accepted) = (false, true);
+            let was_unattempted = std::mem::replace(&mut open.unattempted, false);
+            open.accepted = true;
             open.attempts.push(Attempt {
                 endpoint,
                 zone,
@@ -915,6 +921,7 @@
                 sent: now,
                 in_flight: true,
                 may_have_run: true,
+                was_unattempted,
             });
             // A timeout helps only where the message may then be retried.
             let retry_at = now + call_timeout + 2 * self.cfg.tick;
--- a/crates/decide/nickelshed-policy/src/state.rs
+++ b/crates/decide/nickelshed-policy/src/state.rs
@@ -20,6 +20,8 @@
     pub in_flight: bool,
     /// Whether it may have had an effect; true while it is in flight.
     pub may_have_run: bool,
+    /// `OpenMessage::unattempted` before this attempt.
+    pub was_unattempted: bool,
 }
 
 /// A message that has not finished, or has attempts in flight.
@@ -32,7 +34,7 @@
     pub expires_at: Ns,
     pub attempts: Vec<Attempt>,
     pub finished: bool,
-    /// Recovered from an earlier process, and no call has been made for it yet.
+    /// Recovered from an earlier process, and perhaps no call has been made for it that connected.
     pub unattempted: bool,
     /// Its client may be told that it is accepted.
     pub accepted: bool,
