Pace all that a sender sends after one failed call, also after quiet and restarts

Cause: the budget of slow start rests on two assumptions that did not hold. (1) Random times of the calls: drawn only where slow start begins, so after quiet or a restart each sender has a token ready. (2) Evidence by count: three failures in small fleets, and in large ones a single failure was revoked by an answer, however long the route had not served before. Change: in a fleet that could overload the route by one call each, a call that was possible while nothing waited is drawn anew; the rate is what stays four deviations below the bound; a possible outage begins with the first failure signal and counts unless answers within one overload window surround it; slow start counts from the first answer. Why it works: the sum of the senders' calls is bounded by a Poisson process of that rate whatever their traffic is; a call that is not paced is made within a window of an answer, before an outage longer than the window can have ended.

--- a/crates/decide/nickelshed-policy/src/recovery.rs
+++ b/crates/decide/nickelshed-policy/src/recovery.rs
@@ -1,45 +1,46 @@
 //! Outage and slow start of a route.
 //!
 //! Invariant: in any window of `Settings::overload_window` after a recovery, the number of calls from all n
-//! senders that saw the outage stays within N + 2 x sqrt(N) + 2, except by chance. N is the overload multiple
-//! times the current capacity of the route, in calls a second, times the window in seconds. No sender sees
-//! the calls of another, so each keeps to N / n by itself, beginning at a random time.
+//! senders that saw one call or more fail in the outage stays within N + 2 x sqrt(N) + 2, except by chance. N is
+//! the overload multiple times the current capacity of the route, in calls a second, times the window in seconds.
+//! No sender sees the calls of another, so each keeps to N / n by itself. An outage shorter than the window is
+//! told from an isolated failure only by a sender that saw several failures.
 
 use crate::api::*;
-use crate::state::Route;
+use crate::state::{PossibleOutage, RecoveryState, Route, LONG_AGO};
 
 /// A route becomes suspect after this many consecutive failures, or above this moving average of failures.
 pub const SUSPECT_FAILURES: u32 = 3;
 const SUSPECT_FAILURE_RATIO: f64 = 0.6;
-/// Moving average of failures above which a route in slow start begins it anew.
-const RESTART_FAILURE_RATIO: f64 = 0.5;
-/// Fraction of N that the senders use on average. The sum of their calls then stays four standard deviations
+/// After this many consecutive failures, one of which is explicit, there is an outage, however short.
+const OUTAGE_FAILURES: u32 = 2;
+/// The senders' calls in a window, on average, stay this many standard deviations of a random arrival process
 /// below the bound.
-const MARGIN: f64 = 0.7;
-/// A failure that may be an isolated one is checked by one call, at a random time within this fraction of the
-/// overload window.
-const RECHECK_FRACTION: f64 = 0.25;
+const BOUND_DEVIATIONS: f64 = 4.0;
 /// A retry-after of at least this length is due to an outage and not to a rate limit.
 pub const OUTAGE_WAIT: Ns = 1_500 * MS;
-/// Up to this many senders may all call at the same moment: N + 2 x sqrt(N) + 2 allows that many calls where
-/// N is at least a half.
-const SMALL_FLEET_MAX: usize = 4;
-/// The shortest interval between probes, and the longest one in a small fleet.
+/// The shortest interval between probes, and the longest one in a fleet of two.
 const PROBE_INTERVAL_MIN: Ns = 500 * MS;
-const SMALL_FLEET_PROBE_INTERVAL_MAX: Ns = 3 * SECOND;
+const PROBE_INTERVAL_MAX: Ns = 3 * SECOND;
+/// A route for which messages wait is evaluated more often than this. After a longer time without an
+/// evaluation, nothing has waited.
+const IDLE_AFTER: Ns = 250 * MS;
 
 /// A sign that a route may be unavailable.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FailureSignal {
-    /// False for the end of a call that was already counted when it became overdue.
-    pub is_new: bool,
-    /// A call or probe failed or was rejected, and is not just overdue: this sender is now one of those that
-    /// saw the outage.
+    /// Counts towards the failures that make a route suspect. False for the end of a call that was already
+    /// counted when it became overdue, and for failures that a limit or an idle connection may have caused.
+    pub is_counted: bool,
+    /// A call failed or was rejected, and is not just overdue.
     pub explicit: bool,
+    /// When the call was sent.
+    pub sent: Ns,
     /// When the route becomes available, if the rejection announced that (retry-after).
     pub ends_at: Option<Ns>,
-    /// One call may soon check whether the failure was an isolated one.
-    pub recheck: bool,
+    /// The call failed on a connection that had rested: until something else fails, the outage cannot have begun
+    /// before this failure.
+    pub is_stale_connection: bool,
 }
 
 /// Returns how many senders share a limit: only this one, if the settings know of none.
@@ -51,13 +52,23 @@
 /// window.
 fn probe_interval_max(cfg: &Settings) -> Ns {
     let others = cfg.sender_count.max(1) as Ns - 1;
-    cfg.overload_window.saturating_mul(others).max(SMALL_FLEET_PROBE_INTERVAL_MAX)
+    cfg.overload_window.saturating_mul(others).max(PROBE_INTERVAL_MAX)
 }
 
-/// Returns whether there are so many senders that they can overload a route together even if each sends
-/// little.
-fn large_fleet(cfg: &Settings) -> bool {
-    cfg.sender_count > SMALL_FLEET_MAX
+fn window_seconds(cfg: &Settings) -> f64 {
+    cfg.overload_window.max(MS) as f64 / SECOND as f64
+}
+
+/// Returns how many calls in a window make a recovering route collapse, where `allowed` is N.
+fn overload_bound(allowed: f64) -> f64 {
+    allowed + 2.0 * allowed.sqrt() + 2.0
+}
+
+/// Returns how many calls in a window all senders together may make on average, where `allowed` is N: m such that
+/// m + `BOUND_DEVIATIONS` x sqrt(m) is the overload bound.
+fn mean_calls(allowed: f64) -> f64 {
+    let half = BOUND_DEVIATIONS / 2.0;
+    ((half * half + overload_bound(allowed)).sqrt() - half).powi(2)
 }
 
 impl Route {
@@ -80,111 +91,173 @@
     /// Returns when the route recovered from the outage that is known of, or will recover as announced;
     /// `Ns::MAX` if it has not, and None if no outage is known.
     pub fn known_recovery(&self) -> Option<Ns> {
-        let is_known = self.suspect || self.in_slow_start;
-        let has_recovered = self.has_recovered() && !self.suspect;
+        let is_known = self.suspect || self.in_slow_start || self.possible_outage.is_some();
+        let has_recovered = self.has_recovered() && !self.suspect && self.possible_outage.is_none();
         is_known.then_some(if has_recovered { self.recovered_at } else { Ns::MAX })
     }
 
-    /// Returns the calls a second that this sender may make in slow start. Until something is served, a large
-    /// fleet stays at the initial rate; in a small one it rises from the last failure, as it probes often.
-    pub fn slow_start_rate(&self, cfg: &Settings, now: Ns) -> f64 {
-        let unconfirmed = if large_fleet(cfg) { now } else { self.last_failure };
-        let recovered_at = if self.has_recovered() { self.recovered_at } else { unconfirmed };
-        let elapsed = (now - recovered_at).max(0);
+    /// Returns whether calls are paced by `slow_start_rate`.
+    pub fn is_paced(&self) -> bool {
+        self.suspect || self.in_slow_start
+    }
+
+    /// Returns N, the calls in a window that the settings allow from all senders now. Until something is served,
+    /// it is that of the moment of the recovery.
+    fn allowed_calls(&self, cfg: &Settings, now: Ns) -> f64 {
+        let elapsed = if self.has_recovered() { (now - self.recovered_at).max(0) } else { 0 };
         let progress = (elapsed as f64 / cfg.slow_start_duration.max(1) as f64).min(1.0);
         let capacity = cfg.start_capacity + (1.0 - cfg.start_capacity) * progress;
-        (MARGIN * cfg.overload_multiple * capacity * self.fair_share(cfg, now)).max(0.15 / sender_count(cfg))
+        let limit = self.fair_share(cfg, now) * sender_count(cfg);
+        cfg.overload_multiple * capacity * limit * window_seconds(cfg)
+    }
+
+    /// Returns the calls a second that this sender may make in slow start.
+    fn slow_start_rate(&self, cfg: &Settings, now: Ns) -> f64 {
+        mean_calls(self.allowed_calls(cfg, now)) / window_seconds(cfg) / sender_count(cfg)
+    }
+
+    /// Returns the calls a second that this sender may make, in slow start or as probes.
+    pub fn paced_rate(&self, cfg: &Settings, now: Ns) -> f64 {
+        let rate = self.slow_start_rate(cfg, now);
+        if !self.suspect {
+            return rate;
+        }
+        let probes_per_s = |interval: Ns| SECOND as f64 / interval as f64;
+        rate.clamp(probes_per_s(probe_interval_max(cfg)), probes_per_s(PROBE_INTERVAL_MIN))
     }
 
-    /// Returns the time from one probe to the next: random, on average the interval between calls in slow
-    /// start, and within the bounds above. `draw` is a random draw in [0, 1), here and below.
-    pub fn probe_interval(&self, cfg: &Settings, now: Ns, draw: f64) -> Ns {
-        let interval = (2e9 * draw / self.slow_start_rate(cfg, now)) as Ns;
-        interval.clamp(PROBE_INTERVAL_MIN, probe_interval_max(cfg))
+    /// Returns whether all senders may make this many calls each at the same moment, in addition to their rate.
+    fn may_burst(&self, cfg: &Settings, now: Ns, calls_each: f64) -> bool {
+        let allowed = self.allowed_calls(cfg, now);
+        sender_count(cfg) * calls_each <= overload_bound(allowed) - mean_calls(allowed)
     }
 
-    /// Returns the number of consecutive failures that begins slow start. In a large fleet it is half of
-    /// those that this sender would see in an outage as long as the overload window, with `arrivals` messages
-    /// a second: hundreds of senders that see only one failure each carry the whole load of the route
-    /// together.
-    pub fn slow_start_failures(&self, cfg: &Settings, now: Ns, arrivals: f64) -> u32 {
-        if !large_fleet(cfg) {
-            return SUSPECT_FAILURES;
+    /// Returns whether `refill_paced` needs a random draw now. In a large fleet a call that was possible while
+    /// nothing waited is not kept: otherwise all senders could use theirs at the same moment.
+    pub fn needs_draw(&self, cfg: &Settings, now: Ns) -> bool {
+        now - self.refilled_at > IDLE_AFTER && !self.may_burst(cfg, now, 1.0)
+    }
+
+    /// Refills the token bucket of a paced route at `rate`, in calls a second. With `draw`, a random number in
+    /// [0, 1), the next call waits for an exponentially distributed time instead.
+    pub fn refill_paced(&mut self, now: Ns, rate: f64, draw: Option<f64>) {
+        let elapsed = (now - self.refilled_at).max(0) as f64 / SECOND as f64;
+        self.tokens = match draw {
+            Some(draw) => 1.0 + (1.0 - draw).ln(),
+            None => (self.tokens + elapsed * rate).min(1.0),
+        };
+        self.refilled_at = self.refilled_at.max(now);
+    }
+
+    /// Begins to pace calls, from a full token bucket or a random draw.
+    fn begin_slow_start(&mut self) {
+        if !std::mem::replace(&mut self.in_slow_start, true) {
+            self.refilled_at = LONG_AGO;
         }
-        let expected = self.fair_share(cfg, now).min(arrivals) * cfg.overload_window as f64 / 1e9;
-        ((expected / 2.0) as u32).clamp(1, SUSPECT_FAILURES)
     }
 
-    /// Records a failure signal. Enough of them make the route suspect: it then gets only single probes,
-    /// spaced by `probe_interval`. An explicit signal of an outage also begins slow start, which lasts until
-    /// the route has served again and warmed up. `arrivals`: messages a second for the destination.
-    pub fn on_failure(&mut self, cfg: &Settings, now: Ns, signal: FailureSignal, arrivals: f64, draw: f64) {
-        if signal.is_new {
+    /// Records a failure signal. From the first one on there may be an outage, see `update_slow_start`. Enough
+    /// of them make the route suspect: it then gets only single probes. If they are explicit, this is an outage
+    /// however short it is.
+    pub fn on_failure(&mut self, cfg: &Settings, now: Ns, signal: FailureSignal) {
+        if signal.is_counted {
             self.failures += 1;
             self.failure_ratio = self.failure_ratio * 0.7 + 0.3;
         }
-        let suspect = self.failures >= SUSPECT_FAILURES || self.failure_ratio > SUSPECT_FAILURE_RATIO;
-        if suspect {
-            (self.suspect, self.last_failure) = (true, self.last_failure.max(now));
-        }
-        // A sender that was told when the outage ends gets no more signals until then. It needs none, as the
-        // outage is certain.
-        let announced = signal.ends_at.is_some_and(|at| large_fleet(cfg) || at - now >= OUTAGE_WAIT);
-        let outage = suspect || announced || self.failures >= self.slow_start_failures(cfg, now, arrivals);
-        // Single failures among successes must not begin slow start anew again and again.
-        let restart = self.in_slow_start && self.failure_ratio > RESTART_FAILURE_RATIO;
-        if !(signal.explicit && (outage || restart)) {
-            return;
-        }
-        let entered = !std::mem::replace(&mut self.in_slow_start, true);
-        self.isolated = entered && !suspect && signal.recheck;
-        self.recheck_at =
-            self.isolated.then_some(now + (draw * RECHECK_FRACTION * cfg.overload_window as f64) as Ns);
+        let served_before = if signal.is_stale_connection { now } else { self.served_at };
+        let before = RecoveryState {
+            in_slow_start: self.in_slow_start,
+            last_failure: self.last_failure,
+            recovered_at: self.recovered_at,
+        };
+        let possible = self.possible_outage.get_or_insert(PossibleOutage {
+            served_before,
+            latest_sent: signal.sent,
+            is_explicit: false,
+            is_certain: false,
+            before,
+        });
+        possible.served_before = possible.served_before.min(served_before);
+        possible.latest_sent = possible.latest_sent.max(signal.sent);
+        possible.is_explicit |= signal.explicit;
+        possible.is_certain |=
+            signal.is_counted && (signal.ends_at.is_some() || self.failures >= OUTAGE_FAILURES);
+        let is_explicit = possible.is_explicit;
         self.last_failure = signal.ends_at.map_or(now, |at| at.max(now));
         if signal.ends_at.is_some() {
             self.recovered_at = self.last_failure;
         }
-        // Senders that fail, or whose retry-after ends, at the same instant must not all call at once.
-        if large_fleet(cfg) && (entered || signal.ends_at.is_some()) {
-            self.tokens = draw;
-            self.refilled_at = self.last_failure;
-            self.next_probe_at = self.last_failure + self.probe_interval(cfg, now, draw);
+        let is_suspect = self.failures >= SUSPECT_FAILURES || self.failure_ratio > SUSPECT_FAILURE_RATIO;
+        if is_suspect && signal.is_counted && !std::mem::replace(&mut self.suspect, true) {
+            // The first probe is spaced from the last call.
+            (self.tokens, self.refilled_at) = (0.0, now);
+            if !self.may_burst(cfg, now, 1.0) {
+                self.refilled_at = LONG_AGO;
+            }
         }
+        if self.suspect && is_explicit {
+            self.in_slow_start = true;
+        }
+        self.update_slow_start(cfg, now);
     }
 
-    /// Records a call that was served `age` after it was sent.
-    pub fn on_success(&mut self, cfg: &Settings, now: Ns, age: Ns, draw: f64) {
+    /// Records a call that was served `age` after it was sent; `was_overdue`: it had given a failure signal.
+    pub fn on_success(&mut self, cfg: &Settings, now: Ns, age: Ns, was_overdue: bool) {
+        self.update_slow_start(cfg, now);
         // A probe that is served in less time than overdue calls had when they were cancelled shows that the
         // route hung and was not just slow.
         let cancelled_after = std::mem::take(&mut self.longest_cancelled);
-        self.in_slow_start |= self.suspect && age < cancelled_after;
-        if self.isolated && now - self.last_failure <= cfg.overload_window {
-            self.in_slow_start = false;
-        }
-        if self.in_slow_start && !self.has_recovered() {
-            // The route recovered at some time since the last failure: on average over many senders, half of
-            // that time ago.
-            let since = now - self.last_failure;
-            let since = if large_fleet(cfg) { (since / 2).min(cfg.slow_start_duration / 2) } else { since };
-            self.recovered_at = now - since.min(probe_interval_max(cfg));
+        let has_hung = self.suspect && age < cancelled_after;
+        if let Some(possible) = self.possible_outage {
+            let was_slow = (was_overdue && age <= cfg.overload_window)
+                || (cancelled_after > 0 && age >= cancelled_after);
+            let was_brief = now - possible.served_before <= cfg.overload_window;
+            let is_later = now - age >= possible.latest_sent;
+            let is_certain = has_hung || (possible.is_explicit && possible.is_certain);
+            let is_isolated = (!possible.is_explicit && was_slow) || (is_later && was_brief && !is_certain);
+            if is_isolated {
+                self.possible_outage = None;
+                self.in_slow_start = possible.before.in_slow_start;
+                self.last_failure = possible.before.last_failure;
+                self.recovered_at = possible.before.recovered_at;
+            } else if is_later {
+                self.possible_outage = None;
+                self.begin_slow_start();
+            }
         }
-        if std::mem::take(&mut self.suspect) && large_fleet(cfg) {
-            (self.tokens, self.refilled_at) = (draw, now);
+        if self.in_slow_start && !self.has_recovered() && self.possible_outage.is_none() {
+            // The recovery may have been earlier, but other senders may have seen as little of it.
+            self.recovered_at = now;
         }
-        (self.failures, self.isolated, self.recheck_at) = (0, false, None);
+        (self.suspect, self.failures, self.served_at) = (false, 0, now);
         self.failure_ratio *= 0.7;
     }
 
-    /// Ends slow start once the route has warmed up, and a recheck that is no longer needed.
+    /// Begins slow start once a possible outage may have lasted for an overload window, and ends it once the
+    /// route has warmed up.
     pub fn update_slow_start(&mut self, cfg: &Settings, now: Ns) {
-        // The real recovery may have been this much later than `recovered_at`.
-        let uncertainty = probe_interval_max(cfg).min(cfg.slow_start_duration / 2);
-        let warmed_up_at = self.recovered_at.saturating_add(cfg.slow_start_duration + uncertainty);
-        if self.in_slow_start && !self.suspect && self.has_recovered() && now > warmed_up_at {
+        let has_warmed_up =
+            self.has_recovered() && now > self.recovered_at.saturating_add(cfg.slow_start_duration);
+        if has_warmed_up && !self.suspect {
             self.in_slow_start = false;
+            // Until something is served only an announced recovery leads here.
+            self.possible_outage = None;
         }
-        if now - self.last_failure > cfg.overload_window {
-            self.recheck_at = None;
+        if self.possible_outage.is_some_and(|possible| now - possible.served_before > cfg.overload_window) {
+            self.begin_slow_start();
         }
     }
+
+    /// Restores an outage that an earlier process of this sender saw. It may have ended unseen, so slow start
+    /// can only count from when that process last saw it. `draw` is a random number in [0, 1).
+    pub fn restore_outage(&mut self, cfg: &Settings, now: Ns, outage: &Outage, draw: f64) {
+        (self.suspect, self.in_slow_start) = (outage.suspect, true);
+        self.failures = if outage.suspect { SUSPECT_FAILURES } else { 0 };
+        self.last_failure = outage.last_failure.min(now);
+        self.recovered_at = if outage.suspect { LONG_AGO } else { self.last_failure };
+        (self.proven_rate, self.proven_at) = (outage.proven_rate, now);
+        // The earlier process may have made its call just before.
+        (self.tokens, self.refilled_at) =
+            if self.may_burst(cfg, now, 2.0) { (1.0, LONG_AGO) } else { (draw, now - IDLE_AFTER - 1) };
+    }
 }
--- a/crates/decide/nickelshed-policy/src/rules.rs
+++ b/crates/decide/nickelshed-policy/src/rules.rs
@@ -13,7 +13,7 @@
 //! (`Sender::allows` and `Sender::is_next_of_key`).
 
 use crate::api::*;
-use crate::recovery::{sender_count, FailureSignal, OUTAGE_WAIT};
+use crate::recovery::{sender_count, FailureSignal, OUTAGE_WAIT, SUSPECT_FAILURES};
 use crate::stat::{rate_per_s, DecayingStat, MIN_WEIGHT};
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -69,6 +69,27 @@
 /// A reported limit that differs from the known one by more than this fraction is a new limit and not noise.
 const REPORT_NOISE: f64 = 0.3;
 
+/// What the end of a call says about an outage of its route.
+#[derive(Clone, Copy, PartialEq)]
+enum FailureSign {
+    None,
+    /// An outage, a limit, or connections that are in use.
+    Ambiguous,
+    /// An outage, or a connection that the other side had closed as idle.
+    StaleConnection,
+    Certain,
+}
+
+impl FailureSign {
+    fn certain_if(is_certain: bool) -> FailureSign {
+        if is_certain {
+            FailureSign::Certain
+        } else {
+            FailureSign::Ambiguous
+        }
+    }
+}
+
 /// Each answer that reports headroom multiplies the limit share by the sender count to this power. The number
 /// of answers that leads from a fair share to the whole limit is then the same for every fleet size.
 const SHARE_GROWTH_EXPONENT: f64 = 0.045;
@@ -283,7 +304,14 @@
 
     fn route(&mut self, id: RouteId) -> &mut Route {
         let (limit_share, now) = (1.0 / sender_count(&self.cfg), self.now);
-        let new = || Route { limit_share, share_at: now, tokens: 1.0, refilled_at: now, ..Route::default() };
+        let new = || Route {
+            limit_share,
+            share_at: now,
+            tokens: 1.0,
+            refilled_at: now,
+            served_at: LONG_AGO,
+            ..Route::default()
+        };
         self.routes.entry(id).or_insert_with(new)
     }
 
@@ -467,11 +495,10 @@
         let draw = self.random();
         let jitter = 0.5 + draw;
         let n = sender_count(&self.cfg);
-        let (base_share, arrivals) = (self.base_limit_share(), self.arrival_rate(route_id.0));
+        let base_share = self.base_limit_share();
         let has_queue = self.dests.get(&route_id.0).is_some_and(|d| !d.queue.is_empty());
         let Some(route) = self.routes.get_mut(&route_id) else { return };
         let Some(endpoint) = self.endpoints.get_mut(&e.endpoint) else { return };
-        let outage_min = route.slow_start_failures(&self.cfg, now, arrivals);
         let mut remaining = None;
         if let Some(report) = e.report {
             if report.limit.is_finite() && report.limit >= 0.0 {
@@ -486,7 +513,7 @@
                 remaining = (report.limit > 0.0).then_some(report.remaining);
             }
         }
-        let failed = match e.outcome {
+        let sign = match e.outcome {
             Outcome::Served => {
                 endpoint.served_at = now;
                 endpoint.avoid_until = now;
@@ -499,7 +526,7 @@
                 route.proven_rate = route.proven_rate_now(now).max(rate_per_s(route.served.weight_at(now)));
                 route.proven_at = now;
                 route.rejections = 0;
-                route.on_success(&self.cfg, now, age, draw);
+                route.on_success(&self.cfg, now, age, overdue);
                 // The share follows what remains of the allowance, the only sign of other senders' calls. A
                 // share that has grown is not held for `SHARE_TTL`: it starts to return to the base share at
                 // once.
@@ -512,15 +539,15 @@
                     Some(fraction) if fraction < 0.2 => ((share * 0.95).max(0.7 / n), now),
                     _ => (share, now),
                 };
-                false
+                FailureSign::None
             }
-            // Answers carry reports here, so a rejection without one was sent before the call was read: the
-            // connections of the endpoint are exhausted.
+            // Answers may carry reports here, so a rejection without one may have been sent before the call was
+            // read, because the connections of the endpoint are exhausted.
             Outcome::TurnedAway if self.cfg.limit_reports && e.report.is_none() && e.retry_after == 0 => {
                 self.exhausted_at.insert(endpoint.kind, now);
                 endpoint.avoid_until = now + SECOND;
                 route.backoff_until = route.backoff_until.max(now + (CONTROL_PERIOD as f64 * jitter) as Ns);
-                false
+                FailureSign::Ambiguous
             }
             Outcome::TurnedAway => {
                 route.rejections += 1;
@@ -534,38 +561,51 @@
                 route.backoff_until = route.backoff_until.max(now + backoff as Ns);
                 // A report shows the cause: the limit if little of the allowance remains, an outage if much
                 // does. Without one, a long retry-after or enough rejections in a row count as an outage.
-                remaining.map_or(e.retry_after >= OUTAGE_WAIT || route.rejections >= outage_min, |r| r > 0.4)
+                let may_be_limit = e.retry_after < OUTAGE_WAIT && route.rejections < SUSPECT_FAILURES;
+                FailureSign::certain_if(remaining.map_or(!may_be_limit, |r| r > 0.4))
             }
             Outcome::NoConnection => {
                 endpoint.refused_at = now;
                 endpoint.avoid_until = now + SECOND;
                 // If the endpoint served another call meanwhile, it is up and all its connections are in use.
-                endpoint.served_at < now.saturating_sub(e.took.max(self.cfg.tick))
+                if endpoint.served_at < now.saturating_sub(e.took.max(self.cfg.tick)) {
+                    FailureSign::Certain
+                } else {
+                    FailureSign::None
+                }
             }
             // The endpoint may have closed an idle connection; a call on a new one will show whether it is
             // down. A closed connection shows at once, though. An overdue call met an outage, and the server
             // that resets it may have just recovered.
-            Outcome::ConnectionLost if e.reused_connection && !overdue => false,
+            Outcome::ConnectionLost if e.reused_connection && !overdue => FailureSign::StaleConnection,
             Outcome::ServerError | Outcome::NoAnswer | Outcome::ConnectionLost => {
                 endpoint.avoid_until = now + SECOND;
-                true
+                FailureSign::Certain
             }
             Outcome::CalledOff => {
                 route.longest_cancelled = route.longest_cancelled.max(if overdue { age } else { 0 });
-                false
+                FailureSign::None
             }
             Outcome::NotSent => {
                 route.backoff_until = now + 4 * self.cfg.tick;
-                false
+                FailureSign::None
             }
         };
-        if failed {
-            let ends_at = (e.retry_after > 0).then(|| now.saturating_add(e.retry_after));
-            // A long call may be reset by the recovery itself, which resets the calls of all senders at once;
-            // if each sender then checked with one call, these would come together.
-            let recheck = ends_at.is_none() && !(age > OVERDUE_MIN && e.outcome == Outcome::ConnectionLost);
-            let is_new = !(overdue && e.outcome == Outcome::NoAnswer);
-            self.on_signal(route_id, FailureSignal { is_new, explicit: true, ends_at, recheck });
+        let is_signal = match sign {
+            FailureSign::None => false,
+            FailureSign::Ambiguous => remaining.is_none() && !self.cfg.limit_reports,
+            FailureSign::StaleConnection | FailureSign::Certain => true,
+        };
+        if is_signal {
+            let is_repeated = overdue && e.outcome == Outcome::NoAnswer;
+            let signal = FailureSignal {
+                is_counted: sign == FailureSign::Certain && !is_repeated,
+                explicit: true,
+                sent: now - age,
+                ends_at: (e.retry_after > 0).then(|| now.saturating_add(e.retry_after)),
+                is_stale_connection: sign == FailureSign::StaleConnection,
+            };
+            self.on_signal(route_id, signal);
         }
     }
 
@@ -573,20 +613,13 @@
     /// too. If an overdue call is served after all, the route was only slow, and the success revokes the
     /// signal. This does harm where errors are common but the destination is otherwise healthy.
     fn on_signal(&mut self, id: RouteId, signal: FailureSignal) {
-        let (draw, arrivals) = (self.random(), self.arrival_rate(id.0));
         if let Some(route) = self.routes.get_mut(&id) {
             let known_before = route.known_recovery();
-            route.on_failure(&self.cfg, self.now, signal, arrivals, draw);
+            route.on_failure(&self.cfg, self.now, signal);
             self.outage_revision += u64::from(route.known_recovery() > known_before);
         }
     }
 
-    /// Returns how many messages a second arrive for a destination.
-    fn arrival_rate(&self, dest: DestId) -> f64 {
-        let dest = self.dests.get(&dest);
-        dest.map_or(0.0, |d| rate_per_s(d.arrivals.iter().map(|a| a.weight_at(self.now)).sum()))
-    }
-
     /// Overdue calls are a failure signal before they time out, which calls with unsafe messages may never
     /// do. The endpoint of an overdue call is avoided. The call counts as a signal, once, if that endpoint
     /// has served nothing since the call was sent or for as long as the overdue threshold. The other
@@ -601,12 +634,12 @@
                 let silent = endpoint.served_at < call.sent || self.now - endpoint.served_at > threshold;
                 if silent && !call.overdue {
                     call.overdue = true;
-                    overdue_routes.push(call.route);
+                    overdue_routes.push((call.route, call.sent));
                 }
             }
         }
-        for route in overdue_routes {
-            self.on_signal(route, FailureSignal { is_new: true, ..FailureSignal::default() });
+        for (route, sent) in overdue_routes {
+            self.on_signal(route, FailureSignal { is_counted: true, sent, ..FailureSignal::default() });
         }
     }
 
@@ -638,22 +671,14 @@
             return blocked_until;
         }
         let base_share = self.base_limit_share();
-        let slow_start_rate = route.slow_start_rate(&self.cfg, now);
         let route = self.routes.get_mut(&id).expect("looked up above");
         route.update_slow_start(&self.cfg, now);
-        if route.suspect {
-            return if route.in_flight > 0 { Ns::MAX } else { route.next_probe_at };
-        }
-        let recheck_at = route.recheck_at.unwrap_or(Ns::MAX);
-        if recheck_at <= now {
-            return now;
+        if route.is_paced() {
+            return self.paced_ready_at(id);
         }
         let limit = route.limit.unwrap_or(route.rate_hint);
-        let mut rate = if limit > 0.0 { limit * route.share_now(now, base_share) } else { f64::INFINITY };
-        let mut burst = (0.4 * rate).clamp(1.0, 4.0);
-        if route.in_slow_start {
-            (rate, burst) = (rate.min(slow_start_rate), 1.0);
-        }
+        let rate = if limit > 0.0 { limit * route.share_now(now, base_share) } else { f64::INFINITY };
+        let burst = (0.4 * rate).clamp(1.0, 4.0);
         if rate.is_infinite() {
             // Calls without a limit must not build up a token debt, which would block slow start for long
             // after an outage.
@@ -666,7 +691,29 @@
         if route.tokens >= 1.0 {
             now
         } else {
-            recheck_at.min(now.max(route.refilled_at) + ((1.0 - route.tokens) / rate * 1e9) as Ns + 1)
+            now.max(route.refilled_at) + ((1.0 - route.tokens) / rate * 1e9) as Ns + 1
+        }
+    }
+
+    /// Returns when a route that is suspect or in slow start may next be called, in the same form.
+    fn paced_ready_at(&mut self, id: RouteId) -> Ns {
+        let (now, base_share) = (self.now, self.base_limit_share());
+        let needs_draw = self.routes.get(&id).is_some_and(|route| route.needs_draw(&self.cfg, now));
+        let draw = needs_draw.then(|| self.random());
+        let route = self.routes.get_mut(&id).expect("a paced route is known");
+        if route.suspect && route.in_flight > 0 {
+            return Ns::MAX;
+        }
+        let limit = route.limit.unwrap_or(route.rate_hint);
+        let mut rate = route.paced_rate(&self.cfg, now);
+        if limit > 0.0 && !route.suspect {
+            rate = rate.min(limit * route.share_now(now, base_share));
+        }
+        route.refill_paced(now, rate, draw);
+        if route.tokens >= 1.0 {
+            now
+        } else {
+            now.saturating_add(((1.0 - route.tokens) / rate * 1e9) as Ns + 1)
         }
     }
 
@@ -875,13 +922,9 @@
     fn send(&mut self, id: DestId, endpoint: EndpointId, ids: &[MsgId], actions: &mut Vec<Action>) {
         let now = self.now;
         let route_id = self.route_of(endpoint);
-        let draw = self.random();
-        let probe_interval = self.routes[&route_id].probe_interval(&self.cfg, now, draw);
         let route = self.routes.get_mut(&route_id).expect("a candidate's route is known");
         route.in_flight += 1;
         route.tokens -= 1.0;
-        route.next_probe_at = now + probe_interval;
-        route.recheck_at = None;
         let probe = route.suspect;
         self.probes_in_flight += probe as usize;
         let state = self.endpoints.get_mut(&endpoint).expect("a candidate's endpoint is known");
--- a/crates/decide/nickelshed-policy/src/rules/retention.rs
+++ b/crates/decide/nickelshed-policy/src/rules/retention.rs
@@ -1,7 +1,6 @@
 //! Drops state that is no longer needed, and hands known outages from one process to the next.
 
 use super::*;
-use crate::recovery::SUSPECT_FAILURES;
 
 /// A route that the list no longer names is kept for this long, or as long as slow start if that is longer,
 /// after its last failure, probe or retry-after.
@@ -15,7 +14,7 @@
         let endpoints = &self.endpoints;
         let listed: BTreeSet<RouteId> = endpoints.keys().map(|&e| self.route_of(e)).collect();
         self.routes.retain(|id, r| {
-            let last_needed = r.last_failure.max(r.next_probe_at).max(r.retry_after_until);
+            let last_needed = r.last_failure.max(r.retry_after_until);
             listed.contains(id)
                 || r.in_flight > 0
                 || now < last_needed.saturating_add(UNLISTED_RETENTION.max(self.cfg.slow_start_duration))
@@ -32,16 +31,18 @@
         self.pruned_at = now;
     }
 
-    /// Returns the routes that are suspect or in slow start, to be persisted for the next process.
+    /// Returns the routes that are suspect, may be in an outage or are in slow start, to be persisted for the next
+    /// process.
     pub fn outages(&self) -> impl Iterator<Item = Outage> + '_ {
-        self.routes.iter().filter(|(_, r)| r.suspect || r.in_slow_start).map(|(&(dest, endpoint), r)| {
-            Outage {
+        self.routes.iter().filter_map(|(&(dest, endpoint), route)| {
+            let recovery = route.known_recovery()?;
+            Some(Outage {
                 dest,
                 endpoint: (endpoint != EndpointId::MAX).then_some(endpoint),
-                suspect: r.suspect || !r.has_recovered(),
-                last_failure: r.last_failure.max(r.recovered_at),
-                proven_rate: r.proven_rate_now(self.now),
-            }
+                suspect: recovery > self.now,
+                last_failure: route.last_failure.max(route.recovered_at),
+                proven_rate: route.proven_rate_now(self.now),
+            })
         })
     }
 
@@ -51,15 +52,13 @@
         self.outage_revision
     }
 
-    /// Restores an outage that an earlier process of this sender saw. The outage may have ended unseen, so
-    /// slow start can only count from when that process last saw it.
-    pub(super) fn restore_outage(&mut self, o: &Outage) {
-        let now = self.now;
-        let route = self.route((o.dest, o.endpoint.unwrap_or(EndpointId::MAX)));
-        (route.suspect, route.in_slow_start) = (o.suspect, true);
-        route.failures = if o.suspect { SUSPECT_FAILURES } else { 0 };
-        route.last_failure = o.last_failure.min(now);
-        route.recovered_at = if o.suspect { LONG_AGO } else { route.last_failure };
-        (route.proven_rate, route.proven_at) = (o.proven_rate, now);
+    /// Restores an outage that an earlier process of this sender saw.
+    pub(super) fn restore_outage(&mut self, outage: &Outage) {
+        let draw = self.random();
+        let id = (outage.dest, outage.endpoint.unwrap_or(EndpointId::MAX));
+        self.route(id);
+        if let Some(route) = self.routes.get_mut(&id) {
+            route.restore_outage(&self.cfg, self.now, outage, draw);
+        }
     }
 }
--- a/crates/decide/nickelshed-policy/src/state.rs
+++ b/crates/decide/nickelshed-policy/src/state.rs
@@ -93,6 +93,30 @@
     pub avoid_until: Ns,
 }
 
+/// How far a route has recovered from its last outage.
+#[derive(Clone, Copy, Debug)]
+pub struct RecoveryState {
+    pub in_slow_start: bool,
+    pub last_failure: Ns,
+    pub recovered_at: Ns,
+}
+
+/// Failure signals since a route last served.
+#[derive(Clone, Copy, Debug)]
+pub struct PossibleOutage {
+    /// The outage, if it is one, began after this: the route served here.
+    pub served_before: Ns,
+    /// When the latest of the calls that failed was sent. A later one that is served shows that the route serves
+    /// again.
+    pub latest_sent: Ns,
+    /// A call failed or was rejected; otherwise calls are only overdue.
+    pub is_explicit: bool,
+    /// It is no isolated failure: there were several, or the rejection announced the end of an outage.
+    pub is_certain: bool,
+    /// Restored if there was no outage.
+    pub before: RecoveryState,
+}
+
 /// What shares one limit and one outage: a destination, or one endpoint where routes are separate.
 #[derive(Default)]
 pub struct Route {
@@ -125,12 +149,10 @@
     pub last_failure: Ns,
     /// Estimated time of recovery; before `last_failure` until something is served.
     pub recovered_at: Ns,
-    /// In slow start because of a single failure, which a served call within the overload window revokes.
-    pub isolated: bool,
-    /// When one call may check whether that failure was an isolated one, whatever the pace of slow start.
-    pub recheck_at: Option<Ns>,
-    /// While suspect: the earliest time of the next probe.
-    pub next_probe_at: Ns,
+    /// When it last served a call.
+    pub served_at: Ns,
+    /// Set from the first failure signal until a call that was sent later is served.
+    pub possible_outage: Option<PossibleOutage>,
     pub served: DecayingStat,
     /// The highest rate, in calls a second, at which it has served this sender, as of `proven_at`; see
     /// `proven_rate_now`.
