Count every refused call as a sign of an outage, with or without a report

Cause: where answers may hold reports, a 503 without one was taken for exhausted connections and was no failure signal. A destination without a limit reports none. Refusals with nothing of the limit left were no signal either, although refused calls may use up a limit. Change: each refusal begins a possible outage; answers within one overload window around it end it. What counts for suspect routes is as before. Why it works: a sender that was refused is paced until a later call is served, unless it was served so shortly before that no outage longer than the window fits in between.

--- a/crates/decide/nickelshed-policy/src/rules.rs
+++ b/crates/decide/nickelshed-policy/src/rules.rs
@@ -591,12 +591,7 @@
                 FailureSign::None
             }
         };
-        let is_signal = match sign {
-            FailureSign::None => false,
-            FailureSign::Ambiguous => remaining.is_none() && !self.cfg.limit_reports,
-            FailureSign::StaleConnection | FailureSign::Certain => true,
-        };
-        if is_signal {
+        if sign != FailureSign::None {
             let is_repeated = overdue && e.outcome == Outcome::NoAnswer;
             let signal = FailureSignal {
                 is_counted: sign == FailureSign::Certain && !is_repeated,
