Take on no request whose client has closed its connection, also behind unread bytes

Cause: the end of the stream comes behind the unread bytes, and the HTTP library reads no further while it has a request in its buffer, so the sender did not know that the client had left until an answer met the reset. Change: Stream::has_peer_ended asks the runtime's readiness, which shows a hang-up beside unread bytes; it is checked before a message is taken on and every 20 ms while its client waits. Why it works: the check does not depend on how far the connection has been read.

--- a/crates/proof/nickelshed-lab/src/network.rs
+++ b/crates/proof/nickelshed-lab/src/network.rs
@@ -239,6 +239,13 @@
         }
     }
 
+    fn has_peer_ended(&self) -> bool {
+        match self {
+            LabStream::Simulated(stream) => stream.has_peer_ended(),
+            LabStream::Real(stream) => stream.has_peer_ended(),
+        }
+    }
+
     fn shutdown_write(&self) -> io::Result<()> {
         match self {
             LabStream::Simulated(stream) => stream.shutdown_write(),
--- a/crates/proof/nickelshed-lab/src/sim_network.rs
+++ b/crates/proof/nickelshed-lab/src/sim_network.rs
@@ -617,6 +617,12 @@
         }
     }
 
+    fn has_peer_ended(&self) -> bool {
+        let (input, now) = (self.input.borrow(), Instant::now());
+        let has_ended = input.end_of_stream.is_some_and(|(_, arrives_at)| arrives_at <= now);
+        has_ended || input.reset_at.is_some_and(|at| at <= now)
+    }
+
     fn shutdown_write(&self) -> io::Result<()> {
         let mut pipe = self.output.borrow_mut();
         let sent_at = self.departure_time();
--- a/crates/proof/nickelshed-lab/src/sockets.rs
+++ b/crates/proof/nickelshed-lab/src/sockets.rs
@@ -193,6 +193,10 @@
         self.tcp.read_state()
     }
 
+    fn has_peer_ended(&self) -> bool {
+        self.tcp.has_peer_ended()
+    }
+
     fn shutdown_write(&self) -> io::Result<()> {
         Stream::shutdown_write(&self.tcp)
     }
--- a/crates/serve/nickelshed-host/src/lib.rs
+++ b/crates/serve/nickelshed-host/src/lib.rs
@@ -108,6 +108,10 @@
     /// What a read would find now. Asks the operating system, because the runtime may not know yet.
     fn read_state(&self) -> ReadState;
 
+    /// Whether the peer has shut down its sending side or reset the connection, as far as the runtime knows, also
+    /// if bytes that came before are unread.
+    fn has_peer_ended(&self) -> bool;
+
     /// Shuts down the sending side; reading remains possible.
     ///
     /// # Errors
--- a/crates/serve/nickelshed-host/src/system.rs
+++ b/crates/serve/nickelshed-host/src/system.rs
@@ -1,10 +1,12 @@
 //! The traits implemented on the operating system: TCP and UDP sockets of Tokio, and the system's clocks.
 use crate::{DatagramSocket, Host, Listener, ReadState, Stream};
 use socket2::SockRef;
+use std::future::Future;
 use std::io::{self, IoSlice, Read};
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
-use std::task::{ready, Context, Poll};
+use std::pin::pin;
+use std::task::{ready, Context, Poll, Waker};
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -126,6 +128,12 @@
         }
     }
 
+    fn has_peer_ended(&self) -> bool {
+        let mut context = Context::from_waker(Waker::noop());
+        let readiness = pin!(self.ready(Interest::READABLE)).poll(&mut context);
+        matches!(readiness, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+    }
+
     fn shutdown_write(&self) -> io::Result<()> {
         SockRef::from(self).shutdown(Shutdown::Write)
     }
--- a/crates/serve/nickelshed/src/server.rs
+++ b/crates/serve/nickelshed/src/server.rs
@@ -328,12 +328,18 @@
                 return and_close(unavailable(None));
             }
         };
+        if client.has_left() {
+            tracing::info!(message.trace, "the client has left before its request was read; not taken on");
+            return and_close(unavailable(None));
+        }
         let (reply, answer) = oneshot::channel();
         if self.core.try_send(Input::Submit { message, deadline, reply }).is_err() {
             tracing::debug!("the inbox is full");
             return unavailable(None);
         }
-        match answer.await {
+        // Ends without an answer if the client leaves; the core then withdraws the message.
+        let Some(answer) = client.while_present(answer).await else { return and_close(unavailable(None)) };
+        match answer {
             Ok(Reply::Accepted) => text_response(StatusCode::ACCEPTED, ""),
             Ok(Reply::Rejected(retry_after)) => unavailable(retry_after),
             Ok(Reply::Failed) => text_response(StatusCode::INTERNAL_SERVER_ERROR, "can't be delivered"),
--- a/crates/serve/nickelshed/src/server/client.rs
+++ b/crates/serve/nickelshed/src/server/client.rs
@@ -4,10 +4,11 @@
 use nickelshed_host::Stream;
 use std::cell::Cell;
 use std::future::Future;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::{sleep_until, Instant};
+use tokio::time::{sleep_until, timeout, Instant};
 
 /// Time limit to receive a request, head and body together. For the first request it counts from when the
 /// connection was accepted.
@@ -15,6 +16,9 @@
 /// How long a connection may be idle.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// How often it is checked whether a client that waits for an answer is still there.
+const PRESENCE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 pub struct ClientConnection<S> {
     pub socket: Rc<Socket<S>>,
     /// When its last request was answered, or when it was accepted.
@@ -129,6 +133,26 @@
         self.socket.end_exchange();
     }
 
+    /// Whether the client has closed the connection, or will send nothing more. It reads no answer then, and may
+    /// submit its message elsewhere.
+    pub fn has_left(&self) -> bool {
+        self.socket.has_peer_ended()
+    }
+
+    /// Waits for the answer to a request; returns `None` if the client leaves before. The HTTP library does not
+    /// see that while requests behind this one are unread.
+    pub async fn while_present<T>(&self, answer: impl Future<Output = T>) -> Option<T> {
+        let mut answer = pin!(answer);
+        loop {
+            if let Ok(answer) = timeout(PRESENCE_CHECK_INTERVAL, answer.as_mut()).await {
+                return Some(answer);
+            }
+            if self.has_left() {
+                return None;
+            }
+        }
+    }
+
     /// Waits for the body of a request; returns `None` if the connection has to give up its memory before.
     pub async fn receive_body<T>(&self, body: impl Future<Output = T>) -> Option<T> {
         self.is_receiving_body.set(true);
--- a/crates/serve/nickelshed/src/socket.rs
+++ b/crates/serve/nickelshed/src/socket.rs
@@ -153,6 +153,12 @@
         Ok(())
     }
 
+    /// Whether the other side has left: it closed the connection, or will send nothing more. Bytes that it sent
+    /// before may be unread.
+    pub fn has_peer_ended(&self) -> bool {
+        self.stream.has_peer_ended()
+    }
+
     /// Shuts down the sending side; reading remains possible.
     ///
     /// # Errors
