Write no message to an address or endpoint that changed hands while connecting

Cause: between the choice of an endpoint and the write, only readiness and waits were checked again, not the address of the connection or the destination that the endpoint is listed for. Change: may_write compares the address; a message is written only to an endpoint listed for its destination. Why it works: both are compared with the list in the same step as the write, with no wait in between.

--- a/crates/serve/nickelshed/src/calls.rs
+++ b/crates/serve/nickelshed/src/calls.rs
@@ -162,13 +162,15 @@
                 }
             };
             // While the connection was made or the process was stalled, a drain or a retry-after may have
-            // arrived, or the time until which a message may be sent may have passed.
+            // arrived, the address may belong to another endpoint or the endpoint to another destination now, or
+            // the time until which a message may be sent may have passed.
             self.stall_detector.caught_up().await;
             let now = Instant::now();
-            let may_write = self.pool.may_write(endpoint);
-            let (sendable, unsendable): (Vec<_>, Vec<_>) = entries
-                .into_iter()
-                .partition(|entry| may_write && now < entry.send_by && now < entry.deadline.min(close_at));
+            let may_write = self.pool.may_write(endpoint, connection.address);
+            let (sendable, unsendable): (Vec<_>, Vec<_>) = entries.into_iter().partition(|entry| {
+                let is_in_time = now < entry.send_by && now < entry.deadline.min(close_at);
+                may_write && is_in_time && self.pool.serves(endpoint, entry.message.dest)
+            });
             entries = sendable;
             self.report(unsendable.iter().map(attempt_end_of(Outcome::NotSent)).collect()).await;
             if entries.is_empty() {
@@ -387,7 +389,7 @@
             return self.report_probe(endpoint, Outcome::NoConnection, None).await;
         };
         self.stall_detector.caught_up().await;
-        if !self.pool.may_write(endpoint) {
+        if !self.pool.may_write(endpoint, connection.address) {
             return self.report_probe(endpoint, Outcome::NotSent, None).await;
         }
         let health_check = request("GET", "/healthz", connection.address, &[], Bytes::new());
--- a/crates/serve/nickelshed/src/pool.rs
+++ b/crates/serve/nickelshed/src/pool.rs
@@ -201,10 +201,16 @@
         self.reuse.borrow_mut().record_call(endpoint, took, Instant::now());
     }
 
-    /// Whether the endpoint is listed as ready and no retry-after applies to it.
-    pub fn may_write(&self, endpoint: EndpointId) -> bool {
+    /// Whether the list has the endpoint for this destination.
+    pub fn serves(&self, endpoint: EndpointId, dest: DestId) -> bool {
+        self.endpoints.borrow().get(&endpoint).is_some_and(|state| state.route.0 == dest)
+    }
+
+    /// Whether the endpoint is listed as ready at this address and no retry-after applies to it.
+    pub fn may_write(&self, endpoint: EndpointId, address: SocketAddr) -> bool {
         let endpoints = self.endpoints.borrow();
-        let Some(state) = endpoints.get(&endpoint).filter(|e| e.is_usable) else { return false };
+        let is_current = |state: &&EndpointState| state.is_usable && state.address == address;
+        let Some(state) = endpoints.get(&endpoint).filter(is_current) else { return false };
         self.retry_after_until.borrow().get(&state.route).is_none_or(|&until| until <= Instant::now())
     }
 
--- a/crates/serve/nickelshed/tests/sender.rs
+++ b/crates/serve/nickelshed/tests/sender.rs
@@ -730,6 +730,32 @@
     assert!(hanging.received().is_empty(), "{:?}", hanging.received());
 }
 
+/// Guards against work at a server that has taken the place of the one that it was meant for.
+#[test]
+fn an_endpoint_that_changes_while_connecting_gets_no_message_of_the_destination_before() {
+    for keeps_address in [false, true] {
+        let (hanging, other) = (HangingListener::new(), FakeServer::new(|_| ok_reply()));
+        let discovery = Discovery::new(json!([ready_instance("e-1", hanging.address, 7)]));
+        let set_dial_timeout =
+            |config: &mut Value| config["settings"]["Limits"]["DialTimeoutNs"] = json!(20_000_000_000u64);
+        let sender = SenderProcess::start_with(PROGRAM, &discovery, json!([]), set_dial_timeout);
+        assert_eq!(sender.submit("order", "m", 7, 16_000, b"x"), 202);
+        let address = hanging.address;
+        discovery.set_instances(if keeps_address {
+            json!([ready_instance("e-1", address, 9), ready_instance("e-2", other.address, 7)])
+        } else {
+            json!([ready_instance("e-1", other.address, 7), ready_instance("e-2", address, 9)])
+        });
+        discovery.server.wait_until("the watch to continue", |requests| {
+            requests.iter().any(|r| r.start_line.contains("index=2"))
+        });
+        let hanging = hanging.accept_connections();
+        sender.wait_until("the connection is established", || hanging.connection_count() > 0);
+        other.wait_for_message("m", 1);
+        assert!(hanging.received().is_empty(), "{keeps_address}: {:?}", hanging.received());
+    }
+}
+
 /// A call with several messages waits for its connection. A message that expires meanwhile is returned at its
 /// deadline and not when the connection is established.
 #[test]
