--- a/crates/serve/nickelshed/tests/client_memory.rs
+++ b/crates/serve/nickelshed/tests/client_memory.rs
@@ -29,6 +29,13 @@
 
 const SILENT: FirstBytes = |_| Vec::new();
 const HALF_HEAD: FirstBytes = |number| long_request(number, 0)[..14_000].to_vec();
+/// A head that does not end, with as many fields as fit.
+const HALF_HEAD_OF_SHORT_FIELDS: FirstBytes = |_| {
+    let fields: String = (0..2_300).map(|field| format!("{:x}:\r\n", field % 4_096)).collect();
+    format!("POST /alert HTTP/1.1\r\n{fields}").into()
+};
+const WHOLE_HEAD_OF_SHORT_FIELDS: FirstBytes =
+    |number| [&HALF_HEAD_OF_SHORT_FIELDS(number)[..], &b"\r\n"[..]].concat();
 const HALF_BODY: FirstBytes = |number| without_last_byte(long_request(number, 20_000));
 const HALF_SMALL_BODY: FirstBytes = |number| {
     without_last_byte(submission_request("alert", &format!("small-{number}"), 7, 16_000, &[b'x'; 200]))
@@ -112,6 +119,14 @@
     assert_memory_limit_holds("bodies and silent", 32, 1_024, &[HALF_BODY, SILENT], 670);
     assert_memory_limit_holds("bodies", 32, 1_024, &[HALF_BODY], 340);
     assert_memory_limit_holds("heads", 32, 1_024, &[HALF_HEAD], 340);
+    assert_memory_limit_holds("short fields", 32, 1_024, &[HALF_HEAD_OF_SHORT_FIELDS], 340);
+    assert_memory_limit_holds(
+        "ended heads of short fields",
+        32,
+        1_024,
+        &[WHOLE_HEAD_OF_SHORT_FIELDS, HALF_BODY],
+        340,
+    );
     assert_memory_limit_holds("small bodies", 32, 640, &[HALF_SMALL_BODY], 210);
     assert_memory_limit_holds(
         "all kinds",
