--- a/crates/decide/nickelshed-policy/src/recovery.rs
+++ b/crates/decide/nickelshed-policy/src/recovery.rs
@@ -1,10 +1,10 @@
 //! Outage and slow start of a route.
 //!
 //! Invariant: in any window of `Settings::overload_window` after a recovery, the number of calls from all n
-//! senders that saw one call or more fail in the outage stays within N + 2 x sqrt(N) + 2, except by chance. N is
-//! the overload multiple times the current capacity of the route, in calls a second, times the window in seconds.
-//! No sender sees the calls of another, so each keeps to N / n by itself. An outage shorter than the window is
-//! told from an isolated failure only by a sender that saw several failures.
+//! senders that saw one call or more fail in the outage stays within N + 2 x sqrt(N) + 2, except by chance.
+//! N is the overload multiple times the current capacity of the route, in calls a second, times the window
+//! in seconds. No sender sees the calls of another, so each keeps to N / n by itself. An outage shorter
+//! than the window is told from an isolated failure only by a sender that saw several failures.
 
 use crate::api::*;
 use crate::state::{PossibleOutage, RecoveryState, Route, LONG_AGO};
@@ -38,8 +38,8 @@
     pub sent: Ns,
     /// When the route becomes available, if the rejection announced that (retry-after).
     pub ends_at: Option<Ns>,
-    /// The call failed on a connection that had rested: until something else fails, the outage cannot have begun
-    /// before this failure.
+    /// The call failed on a connection that had rested: until something else fails, the outage cannot have
+    /// begun before this failure.
     pub is_stale_connection: bool,
 }
 
@@ -64,8 +64,8 @@
     allowed + 2.0 * allowed.sqrt() + 2.0
 }
 
-/// Returns how many calls in a window all senders together may make on average, where `allowed` is N: m such that
-/// m + `BOUND_DEVIATIONS` x sqrt(m) is the overload bound.
+/// Returns how many calls in a window all senders together may make on average, where `allowed` is N: m
+/// such that m + `BOUND_DEVIATIONS` x sqrt(m) is the overload bound.
 fn mean_calls(allowed: f64) -> f64 {
     let half = BOUND_DEVIATIONS / 2.0;
     ((half * half + overload_bound(allowed)).sqrt() - half).powi(2)
@@ -101,8 +101,8 @@
         self.suspect || self.in_slow_start
     }
 
-    /// Returns N, the calls in a window that the settings allow from all senders now. Until something is served,
-    /// it is that of the moment of the recovery.
+    /// Returns N, the calls in a window that the settings allow from all senders now. Until something is
+    /// served, it is that of the moment of the recovery.
     fn allowed_calls(&self, cfg: &Settings, now: Ns) -> f64 {
         let elapsed = if self.has_recovered() { (now - self.recovered_at).max(0) } else { 0 };
         let progress = (elapsed as f64 / cfg.slow_start_duration.max(1) as f64).min(1.0);
@@ -126,20 +126,21 @@
         rate.clamp(probes_per_s(probe_interval_max(cfg)), probes_per_s(PROBE_INTERVAL_MIN))
     }
 
-    /// Returns whether all senders may make this many calls each at the same moment, in addition to their rate.
+    /// Returns whether all senders may make this many calls each at the same moment, in addition to their
+    /// rate.
     fn may_burst(&self, cfg: &Settings, now: Ns, calls_each: f64) -> bool {
         let allowed = self.allowed_calls(cfg, now);
         sender_count(cfg) * calls_each <= overload_bound(allowed) - mean_calls(allowed)
     }
 
-    /// Returns whether `refill_paced` needs a random draw now. In a large fleet a call that was possible while
-    /// nothing waited is not kept: otherwise all senders could use theirs at the same moment.
+    /// Returns whether `refill_paced` needs a random draw now. In a large fleet a call that was possible
+    /// while nothing waited is not kept: otherwise all senders could use theirs at the same moment.
     pub fn needs_draw(&self, cfg: &Settings, now: Ns) -> bool {
         now - self.refilled_at > IDLE_AFTER && !self.may_burst(cfg, now, 1.0)
     }
 
-    /// Refills the token bucket of a paced route at `rate`, in calls a second. With `draw`, a random number in
-    /// [0, 1), the next call waits for an exponentially distributed time instead.
+    /// Refills the token bucket of a paced route at `rate`, in calls a second. With `draw`, a random number
+    /// in [0, 1), the next call waits for an exponentially distributed time instead.
     pub fn refill_paced(&mut self, now: Ns, rate: f64, draw: Option<f64>) {
         let elapsed = (now - self.refilled_at).max(0) as f64 / SECOND as f64;
         self.tokens = match draw {
@@ -156,9 +157,9 @@
         }
     }
 
-    /// Records a failure signal. From the first one on there may be an outage, see `update_slow_start`. Enough
-    /// of them make the route suspect: it then gets only single probes. If they are explicit, this is an outage
-    /// however short it is.
+    /// Records a failure signal. From the first one on there may be an outage, see `update_slow_start`.
+    /// Enough of them make the route suspect: it then gets only single probes. If they are explicit, this
+    /// is an outage however short it is.
     pub fn on_failure(&mut self, cfg: &Settings, now: Ns, signal: FailureSignal) {
         if signal.is_counted {
             self.failures += 1;
--- a/crates/decide/nickelshed-policy/src/rules.rs
+++ b/crates/decide/nickelshed-policy/src/rules.rs
@@ -541,8 +541,8 @@
                 };
                 FailureSign::None
             }
-            // Answers may carry reports here, so a rejection without one may have been sent before the call was
-            // read, because the connections of the endpoint are exhausted.
+            // Answers may carry reports here, so a rejection without one may have been sent before the call
+            // was read, because the connections of the endpoint are exhausted.
             Outcome::TurnedAway if self.cfg.limit_reports && e.report.is_none() && e.retry_after == 0 => {
                 self.exhausted_at.insert(endpoint.kind, now);
                 endpoint.avoid_until = now + SECOND;
--- a/crates/decide/nickelshed-policy/src/state.rs
+++ b/crates/decide/nickelshed-policy/src/state.rs
@@ -106,8 +106,8 @@
 pub struct PossibleOutage {
     /// The outage, if it is one, began after this: the route served here.
     pub served_before: Ns,
-    /// When the latest of the calls that failed was sent. A later one that is served shows that the route serves
-    /// again.
+    /// When the latest of the calls that failed was sent. A later one that is served shows that the route
+    /// serves again.
     pub latest_sent: Ns,
     /// A call failed or was rejected; otherwise calls are only overdue.
     pub is_explicit: bool,
