One way to begin pacing, smaller functions, and one bound for short outages

recovery.rs set the token bucket in three places in three ways; reset_tokens serves all. A restored route begins with its random token now and not a quarter of a second earlier. on_failure is split. slow_start.rs ran its scenarios twice over: run_all.

--- a/crates/decide/nickelshed-policy/src/recovery.rs
+++ b/crates/decide/nickelshed-policy/src/recovery.rs
@@ -150,10 +150,16 @@
         self.refilled_at = self.refilled_at.max(now);
     }
 
-    /// Begins to pace calls, from a full token bucket or a random draw.
-    fn begin_slow_start(&mut self) {
+    /// Begins to pace calls with this many tokens, or where all senders together could not use as many at
+    /// once, with the random draw that follows a long time without an evaluation.
+    fn reset_tokens(&mut self, cfg: &Settings, now: Ns, tokens: f64) {
+        self.tokens = tokens;
+        self.refilled_at = if self.may_burst(cfg, now, 1.0) { now } else { LONG_AGO };
+    }
+
+    fn begin_slow_start(&mut self, cfg: &Settings, now: Ns) {
         if !std::mem::replace(&mut self.in_slow_start, true) {
-            self.refilled_at = LONG_AGO;
+            self.reset_tokens(cfg, now, 1.0);
         }
     }
 
@@ -165,25 +171,7 @@
             self.failures += 1;
             self.failure_ratio = self.failure_ratio * 0.7 + 0.3;
         }
-        let served_before = if signal.is_stale_connection { now } else { self.served_at };
-        let before = RecoveryState {
-            in_slow_start: self.in_slow_start,
-            last_failure: self.last_failure,
-            recovered_at: self.recovered_at,
-        };
-        let possible = self.possible_outage.get_or_insert(PossibleOutage {
-            served_before,
-            latest_sent: signal.sent,
-            is_explicit: false,
-            is_certain: false,
-            before,
-        });
-        possible.served_before = possible.served_before.min(served_before);
-        possible.latest_sent = possible.latest_sent.max(signal.sent);
-        possible.is_explicit |= signal.explicit;
-        possible.is_certain |=
-            signal.is_counted && (signal.ends_at.is_some() || self.failures >= OUTAGE_FAILURES);
-        let is_explicit = possible.is_explicit;
+        let possible = self.add_to_possible_outage(now, signal);
         self.last_failure = signal.ends_at.map_or(now, |at| at.max(now));
         if signal.ends_at.is_some() {
             self.recovered_at = self.last_failure;
@@ -191,17 +179,34 @@
         let is_suspect = self.failures >= SUSPECT_FAILURES || self.failure_ratio > SUSPECT_FAILURE_RATIO;
         if is_suspect && signal.is_counted && !std::mem::replace(&mut self.suspect, true) {
             // The first probe is spaced from the last call.
-            (self.tokens, self.refilled_at) = (0.0, now);
-            if !self.may_burst(cfg, now, 1.0) {
-                self.refilled_at = LONG_AGO;
-            }
+            self.reset_tokens(cfg, now, 0.0);
         }
-        if self.suspect && is_explicit {
+        if self.suspect && possible.is_explicit {
             self.in_slow_start = true;
         }
         self.update_slow_start(cfg, now);
     }
 
+    /// Adds a failure signal to the possible outage, or begins one with it, and returns the outage as it is
+    /// then.
+    fn add_to_possible_outage(&mut self, now: Ns, signal: FailureSignal) -> PossibleOutage {
+        let served_before = if signal.is_stale_connection { now } else { self.served_at };
+        let is_certain = signal.is_counted && (signal.ends_at.is_some() || self.failures >= OUTAGE_FAILURES);
+        let before = RecoveryState {
+            in_slow_start: self.in_slow_start,
+            last_failure: self.last_failure,
+            recovered_at: self.recovered_at,
+        };
+        let (latest_sent, is_explicit) = (signal.sent, signal.explicit);
+        let new = PossibleOutage { served_before, latest_sent, is_explicit, is_certain, before };
+        let possible = self.possible_outage.get_or_insert(new);
+        possible.served_before = possible.served_before.min(served_before);
+        possible.latest_sent = possible.latest_sent.max(latest_sent);
+        possible.is_explicit |= is_explicit;
+        possible.is_certain |= is_certain;
+        *possible
+    }
+
     /// Records a call that was served `age` after it was sent; `was_overdue`: it had given a failure signal.
     pub fn on_success(&mut self, cfg: &Settings, now: Ns, age: Ns, was_overdue: bool) {
         self.update_slow_start(cfg, now);
@@ -223,7 +228,7 @@
                 self.recovered_at = possible.before.recovered_at;
             } else if is_later {
                 self.possible_outage = None;
-                self.begin_slow_start();
+                self.begin_slow_start(cfg, now);
             }
         }
         if self.in_slow_start && !self.has_recovered() && self.possible_outage.is_none() {
@@ -245,7 +250,7 @@
             self.possible_outage = None;
         }
         if self.possible_outage.is_some_and(|possible| now - possible.served_before > cfg.overload_window) {
-            self.begin_slow_start();
+            self.begin_slow_start(cfg, now);
         }
     }
 
@@ -258,7 +263,7 @@
         self.recovered_at = if outage.suspect { LONG_AGO } else { self.last_failure };
         (self.proven_rate, self.proven_at) = (outage.proven_rate, now);
         // The earlier process may have made its call just before.
-        (self.tokens, self.refilled_at) =
-            if self.may_burst(cfg, now, 2.0) { (1.0, LONG_AGO) } else { (draw, now - IDLE_AFTER - 1) };
+        let tokens = if self.may_burst(cfg, now, 2.0) { 1.0 } else { draw };
+        self.reset_tokens(cfg, now, tokens);
     }
 }
--- a/crates/decide/nickelshed-policy/src/rules/retention.rs
+++ b/crates/decide/nickelshed-policy/src/rules/retention.rs
@@ -31,8 +31,8 @@
         self.pruned_at = now;
     }
 
-    /// Returns the routes that are suspect, may be in an outage or are in slow start, to be persisted for the next
-    /// process.
+    /// Returns the routes that are suspect, may be in an outage or are in slow start, to be persisted for the
+    /// next process.
     pub fn outages(&self) -> impl Iterator<Item = Outage> + '_ {
         self.routes.iter().filter_map(|(&(dest, endpoint), route)| {
             let recovery = route.known_recovery()?;
--- a/crates/decide/nickelshed-policy/tests/slow_start.rs
+++ b/crates/decide/nickelshed-policy/tests/slow_start.rs
@@ -20,31 +20,28 @@
     sorted[((sorted.len() - 1) as f64 * fraction) as usize]
 }
 
-/// Percentage of short outages that may end in an overload: a sender may see too few failures in them to tell
-/// an outage from an isolated failure, or get a retry-after that a rate limit could have caused as well.
+/// Percentage of outages shorter than the overload window that may end in an overload: a sender may see too few
+/// failures in them to tell an outage from an isolated failure.
 const SHORT_OVERLOADED_MAX_PERCENT: usize = 10;
 
-/// Returns whether the outage is shorter than the overload window, or in a small fleet, whose slow start
-/// begins only after more failures, shorter than two windows.
-fn is_short(scenario: &Scenario) -> bool {
-    scenario.duration
-        < if scenario.senders > 4 { scenario.overload_window } else { 2 * scenario.overload_window }
+/// Runs all scenarios of a fleet size and reports their results.
+fn run_all(senders: usize, scenarios: u64, new: fn(usize, u64) -> Scenario) -> Vec<(Scenario, RunResult)> {
+    let run = |seed| {
+        let scenario = new(senders, seed);
+        let result = fleet::run(&scenario);
+        (scenario, result)
+    };
+    let runs: Vec<(Scenario, RunResult)> = (0..scenarios * scenario_multiplier()).map(run).collect();
+    report(senders, &runs);
+    runs
 }
 
 #[test]
 fn senders_that_saw_an_outage_together_do_not_overload_the_recovering_server() {
     let (mut overloaded, mut short, mut short_overloaded) = (Vec::new(), 0, 0);
     for (senders, scenarios) in FLEET_SIZES {
-        let runs: Vec<(Scenario, RunResult)> = (0..scenarios * scenario_multiplier())
-            .map(|seed| {
-                let scenario = Scenario::new(senders, seed);
-                let result = fleet::run(&scenario);
-                (scenario, result)
-            })
-            .collect();
-        report(senders, &runs);
-        for (scenario, result) in runs {
-            let is_short = is_short(&scenario);
+        for (scenario, result) in run_all(senders, scenarios, Scenario::new) {
+            let is_short = scenario.duration < scenario.overload_window;
             short += usize::from(is_short);
             short_overloaded += usize::from(is_short && result.is_violation);
             if result.is_violation {
@@ -73,14 +70,7 @@
 fn senders_that_saw_one_call_fail_keep_to_the_overload_bound_after_quiet_and_across_restarts() {
     let mut overloaded = Vec::new();
     for (senders, scenarios) in FLEET_SIZES {
-        let runs: Vec<(Scenario, RunResult)> = (0..scenarios * scenario_multiplier())
-            .map(|seed| {
-                let scenario = Scenario::with_disruptions(senders, seed);
-                let result = fleet::run(&scenario);
-                (scenario, result)
-            })
-            .collect();
-        report(senders, &runs);
+        let runs = run_all(senders, scenarios, Scenario::with_disruptions);
         overloaded.extend(runs.into_iter().filter(|(_, result)| result.is_violation));
     }
     for (scenario, result) in &overloaded {
--- a/crates/serve/nickelshed/tests/sender.rs
+++ b/crates/serve/nickelshed/tests/sender.rs
@@ -27,6 +27,12 @@
     (discovery, sender)
 }
 
+fn start_with_dial_timeout(discovery: &Discovery, dial_timeout: Duration) -> SenderProcess {
+    SenderProcess::start_with(PROGRAM, discovery, json!([]), |config| {
+        config["settings"]["Limits"]["DialTimeoutNs"] = json!(dial_timeout.as_nanos() as u64);
+    })
+}
+
 /// Delivers one more message. Calls that the sender would still have made for earlier messages have been made
 /// by then.
 fn wait_until_settled(sender: &SenderProcess, endpoint: &FakeServer) {
@@ -710,9 +716,7 @@
 fn a_drain_notified_while_connecting_moves_the_message_to_another_endpoint() {
     let (hanging, other) = (HangingListener::new(), FakeServer::new(|_| ok_reply()));
     let discovery = Discovery::new(json!([ready_instance("e-1", hanging.address, 7)]));
-    let set_dial_timeout =
-        |config: &mut Value| config["settings"]["Limits"]["DialTimeoutNs"] = json!(20_000_000_000u64);
-    let sender = SenderProcess::start_with(PROGRAM, &discovery, json!([]), set_dial_timeout);
+    let sender = start_with_dial_timeout(&discovery, Duration::from_secs(20));
     let address = hanging.address;
     assert_eq!(sender.submit("order", "m", 7, 16_000, b"x"), 202);
     discovery.set_instances(json!([
@@ -736,9 +740,7 @@
     for keeps_address in [false, true] {
         let (hanging, other) = (HangingListener::new(), FakeServer::new(|_| ok_reply()));
         let discovery = Discovery::new(json!([ready_instance("e-1", hanging.address, 7)]));
-        let set_dial_timeout =
-            |config: &mut Value| config["settings"]["Limits"]["DialTimeoutNs"] = json!(20_000_000_000u64);
-        let sender = SenderProcess::start_with(PROGRAM, &discovery, json!([]), set_dial_timeout);
+        let sender = start_with_dial_timeout(&discovery, Duration::from_secs(20));
         assert_eq!(sender.submit("order", "m", 7, 16_000, b"x"), 202);
         let address = hanging.address;
         discovery.set_instances(if keeps_address {
@@ -762,9 +764,7 @@
 fn a_message_that_expires_while_its_call_is_connecting_is_returned_at_once() {
     let hanging = HangingListener::new();
     let discovery = Discovery::new(json!([terminating_instance(7)]));
-    let set_dial_timeout =
-        |config: &mut Value| config["settings"]["Limits"]["DialTimeoutNs"] = json!(60_000_000_000u64);
-    let sender = SenderProcess::start_with(PROGRAM, &discovery, json!([]), set_dial_timeout);
+    let sender = start_with_dial_timeout(&discovery, Duration::from_secs(60));
     for (id, expires) in [("short", 2_000), ("long", 16_000), ("other", 16_000)] {
         assert_eq!(sender.submit("order", id, 7, expires, b"x"), 202);
     }
@@ -788,9 +788,7 @@
         ready_instance("e-1", hanging.address, 7),
         ready_instance("e-2", other.address, 7)
     ]));
-    let set_dial_timeout =
-        |config: &mut Value| config["settings"]["Limits"]["DialTimeoutNs"] = json!(20_000_000_000u64);
-    let sender = SenderProcess::start_with(PROGRAM, &discovery, json!([]), set_dial_timeout);
+    let sender = start_with_dial_timeout(&discovery, Duration::from_secs(20));
     assert_eq!(sender.submit("order", "connecting", 7, 16_000, b"x"), 202);
     assert_eq!(sender.submit("order", "limited", 7, 16_000, b"x"), 202);
     let limited_at = other.wait_for_message("limited", 1).remove(0).received_at;
