Keep the outage of an endpoint that a restarted process does not know yet

Cause: at the start the names in the folder are matched with the first list. An endpoint that this does not name (replaced since the configuration was written, or discovery is down) lost its outage, and the next write erased it from the folder. Why it works: nothing read from the folder leaves it before the policy has it or its endpoint has gone.

--- a/crates/serve/nickelshed/src/core.rs
+++ b/crates/serve/nickelshed/src/core.rs
@@ -332,6 +332,7 @@
                 Input::EndpointList(list) => {
                     let is_full = list.reset;
                     iteration.events.push(self.apply_list(list, is_full));
+                    iteration.events.extend(self.outages_of_new_list(now, wall_ms));
                 }
                 Input::AttemptsEnded { ends, is_provisional } => {
                     for end in ends {
--- a/crates/serve/nickelshed/src/core/outages.rs
+++ b/crates/serve/nickelshed/src/core/outages.rs
@@ -36,6 +36,10 @@
     /// Changes may be waiting for `next_check`.
     has_deferred_check: bool,
     is_write_failing: bool,
+    /// Outages of an earlier process at endpoints that no list has named yet.
+    unlisted: Vec<PersistedOutage>,
+    /// When those that are still not listed are forgotten; None before the first list that came from discovery.
+    forget_unlisted_at: Option<Instant>,
 }
 
 impl OutageStore {
@@ -85,8 +89,11 @@
         }
         self.outage_store.next_check = Some(at + MIN_WRITE_INTERVAL);
         self.outage_store.has_deferred_check = false;
-        let all =
-            self.policy.outages().filter_map(|outage| self.to_persisted(&outage, now, wall_ms)).collect();
+        if self.outage_store.forget_unlisted_at.is_some_and(|forget_at| forget_at <= at) {
+            self.outage_store.unlisted.clear();
+        }
+        let known = self.policy.outages().filter_map(|outage| self.to_persisted(&outage, now, wall_ms));
+        let all = known.chain(self.outage_store.unlisted.iter().cloned()).collect();
         let all = newest_that_fit(all, self.journal.max_outage_snapshot_bytes());
         if all == self.outage_store.last_written {
             self.outage_store.written_revision = revision;
@@ -136,29 +143,51 @@
     }
 
     /// Returns the outages that an earlier process run persisted, as events for the policy. The endpoint list
-    /// must have been applied before, because it maps names to endpoints.
-    pub(super) fn recovered_outages(&self, now: Ns, wall_ms: i64) -> Vec<Event> {
+    /// must have been applied before, because it maps names to endpoints; those of endpoints that it does not
+    /// name follow with the list that does.
+    pub(super) fn recovered_outages(&mut self, now: Ns, wall_ms: i64) -> Vec<Event> {
         let persisted = self.journal.read_outage_snapshot().map(|bytes| decode(&bytes)).unwrap_or_default();
-        let event = |stored: PersistedOutage| {
-            let age = wall_ms.saturating_sub(stored.last_failure_ds.saturating_mul(100)).max(0);
-            let endpoint = match &stored.endpoint {
-                Some(name) => Some(*self.endpoint_ids.get(name)?),
-                None => None,
-            };
-            let last_failure = now - age.saturating_mul(MS).min(CLOCK_ORIGIN);
-            let proved = f64::from(stored.proven_per_10s) / 10.0;
-            let outage = Outage {
-                dest: stored.dest,
-                endpoint,
-                suspect: stored.suspect,
-                last_failure,
-                proven_rate: proved,
-            };
-            (outage.suspect || age < MAX_RECOVERY_AGE_MS).then_some(Event::Outage(outage))
-        };
-        persisted.into_iter().filter_map(event).collect()
+        self.outage_store.unlisted = persisted;
+        self.take_listed_outages(now, wall_ms)
+    }
+
+    /// Returns those of the outages of an earlier process whose endpoints are listed now.
+    pub(super) fn outages_of_new_list(&mut self, now: Ns, wall_ms: i64) -> Vec<Event> {
+        let forget_at = Instant::now() + ENDPOINT_RETENTION;
+        self.outage_store.forget_unlisted_at.get_or_insert(forget_at);
+        self.take_listed_outages(now, wall_ms)
+    }
+
+    fn take_listed_outages(&mut self, now: Ns, wall_ms: i64) -> Vec<Event> {
+        let mut events = Vec::new();
+        for stored in std::mem::take(&mut self.outage_store.unlisted) {
+            let endpoint = stored.endpoint.as_ref().map(|name| self.endpoint_ids.get(name).copied());
+            match endpoint {
+                Some(None) => self.outage_store.unlisted.push(stored),
+                listed => events.extend(restored_outage(&stored, listed.flatten(), now, wall_ms)),
+            }
+        }
+        events
     }
 }
 
+/// Converts an outage to an event for the policy; None if its recovery is long complete.
+fn restored_outage(
+    stored: &PersistedOutage,
+    endpoint: Option<EndpointId>,
+    now: Ns,
+    wall_ms: i64,
+) -> Option<Event> {
+    let age = wall_ms.saturating_sub(stored.last_failure_ds.saturating_mul(100)).max(0);
+    let outage = Outage {
+        dest: stored.dest,
+        endpoint,
+        suspect: stored.suspect,
+        last_failure: now - age.saturating_mul(MS).min(CLOCK_ORIGIN),
+        proven_rate: f64::from(stored.proven_per_10s) / 10.0,
+    };
+    (outage.suspect || age < MAX_RECOVERY_AGE_MS).then_some(Event::Outage(outage))
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/serve/nickelshed/tests/outages_across_restarts.rs
+++ b/crates/serve/nickelshed/tests/outages_across_restarts.rs
@@ -41,7 +41,9 @@
             ready_instance("e-1", failing.address, 7),
             ready_instance("e-2", healthy.address, 8)
         ]));
-        let sender = SenderProcess::start(PROGRAM, &discovery);
+        let sender = SenderProcess::start_with(PROGRAM, &discovery, json!([]), |config| {
+            config["settings"]["FamilyInfo"]["SeparateRoutes"] = json!([true, false]);
+        });
         Scenario { failing, healthy, is_silent, discovery, sender }
     }
 
@@ -59,6 +61,11 @@
         self.is_silent.store(true, Ordering::SeqCst);
         self.sender.kill();
         self.sender.restart();
+        self.calls_at_once()
+    }
+
+    /// Returns how many calls the sender has in flight at once to the destination, which does not answer.
+    fn calls_at_once(&self) -> usize {
         for i in 0..BACKLOG {
             assert_eq!(self.sender.submit("order", &format!("backlog-{i}"), 7, 16_000, b"x"), 202);
         }
@@ -92,3 +99,21 @@
     std::thread::sleep(DISK_RECOVERY);
     assert!(scenario.calls_at_once_after_a_kill() <= 1);
 }
+
+/// A new process may not know yet of the endpoint that failed.
+#[test]
+fn an_outage_of_an_endpoint_that_the_first_list_does_not_name_limits_the_next_process() {
+    let mut scenario = Scenario::start();
+    scenario.see_outage();
+    scenario.is_silent.store(true, Ordering::SeqCst);
+    scenario.sender.kill();
+    scenario.discovery.stop_answering();
+    // The second kill shows that a process which never learned of the endpoint keeps what it found.
+    scenario.sender.restart();
+    scenario.sender.kill();
+    scenario.sender.restart();
+    scenario.discovery.resume_answering();
+    let is_listed = || scenario.sender.try_submit("order", "first", 8, 16_000, b"x") == Some(202);
+    scenario.sender.wait_until("the list is known", is_listed);
+    assert!(scenario.calls_at_once() <= 1);
+}
