Keep a watch open at a slow discovery, and read its answers however late

Cause: each request was given up after a fixed time (3 s in all after a failure, 1 s for the full list of an agent), and the next got no more, so an answer that always takes longer was dropped each time. A longer limit alone is no fix: what changes right after an answer was written comes with the next one, twice the delay later. Why it works: at any moment some watch waits at discovery, so a change is written at once and read when its answer arrives.

--- a/crates/proof/nickelshed-testkit/src/fake_server.rs
+++ b/crates/proof/nickelshed-testkit/src/fake_server.rs
@@ -79,6 +79,8 @@
     request_received: Condvar,
     /// Number of connections accepted so far.
     connections: AtomicUsize,
+    /// Bytes of all replies so far.
+    bytes_written: AtomicUsize,
     /// Numbers of the connections that the client has closed.
     closed_connections: Mutex<Vec<usize>>,
     /// The writing ends of all connections, by number.
@@ -109,6 +111,7 @@
             received: Mutex::default(),
             request_received: Condvar::new(),
             connections: AtomicUsize::new(0),
+            bytes_written: AtomicUsize::new(0),
             closed_connections: Mutex::default(),
             writers: Mutex::default(),
         });
@@ -144,6 +147,11 @@
         self.shared.connections.load(Ordering::SeqCst)
     }
 
+    /// Returns how many bytes of replies have been written so far, over all connections.
+    pub fn bytes_written(&self) -> usize {
+        self.shared.bytes_written.load(Ordering::SeqCst)
+    }
+
     /// Whether the client has closed this connection.
     pub fn is_connection_closed(&self, connection: usize) -> bool {
         self.shared.closed_connections.lock().unwrap().contains(&connection)
@@ -152,6 +160,7 @@
     /// Writes bytes to a connection, whatever its client has asked for. Returns false if the connection has
     /// ended.
     pub fn write_to(&self, connection: usize, bytes: &str) -> bool {
+        self.shared.bytes_written.fetch_add(bytes.len(), Ordering::SeqCst);
         let mut writers = self.shared.writers.lock().unwrap();
         writers.get_mut(&connection).is_some_and(|stream| stream.write_all(bytes.as_bytes()).is_ok())
     }
@@ -205,6 +214,7 @@
     while let Some(request) = read_http_message(&mut reader, number) {
         let reply = shared.script.lock().unwrap()(&request);
         if let Reply::Bytes(bytes) = &reply {
+            shared.bytes_written.fetch_add(bytes.len(), Ordering::SeqCst);
             if writer.write_all(bytes.as_bytes()).is_err() {
                 break;
             }
--- a/crates/proof/nickelshed-testkit/src/lib.rs
+++ b/crates/proof/nickelshed-testkit/src/lib.rs
@@ -9,7 +9,7 @@
 mod fault_proxy;
 mod sender_process;
 
-pub use discovery::{instance, ready_instance, terminating_instance, Discovery};
+pub use discovery::{instance, ready_instance, terminating_instance, Discovery, SlowPart};
 pub use disk::{Disk, Fault, File as DiskFile};
 pub use fake_server::{http_reply, ok_reply, read_http_message, FakeServer, HttpMessage, Reply, ReplyCase};
 pub use fault_proxy::{AnswerFault, FaultProxy, ProxiedCall};
--- a/crates/serve/nickelshed/src/discovery/schedule.rs
+++ b/crates/serve/nickelshed/src/discovery/schedule.rs
@@ -4,9 +4,9 @@
 //! It is therefore asked immediately at startup and again soon after a failure; otherwise the sender would
 //! act on an outdated list while it is expected to know better.
 //!
-//! A sender is expected to act on a change at the latest 6 s after discovery had the change and could be
-//! reached, in either mode and whatever failed before. Three steps together must take less than that: a
-//! request that was sent as discovery recovered and is lost, the pause after it, and the next answer.
+//! A sender is expected to act on a change at the latest `MAX_UPDATE_DELAY` after discovery had the change and
+//! could be reached, in either mode and whatever failed before. A pause and the answer that follows it must
+//! take less than that together, so pauses are the shorter the later discovery's answers are.
 //!
 //! A shared discovery that gets more requests than it can answer rejects some, and rejected requests may cost
 //! it as much work as the others. It can answer the whole fleet once in two to eight seconds, whatever the size
@@ -27,25 +27,27 @@
 const MIN_BACKOFF_CEILING: Duration = Duration::from_millis(100);
 const MAX_BACKOFF_SHARED: Duration = Duration::from_millis(2_800);
 const MAX_BACKOFF_AGENT: Duration = Duration::from_millis(400);
-/// The longest delay of a request after startup with a cached list, after a premature answer, and after a
-/// rejection. It leaves two seconds of the six for a slow answer.
-const MAX_REQUEST_DELAY: Duration = Duration::from_millis(3_700);
-/// The lowest pause after a rejection, as a fraction of the ceiling, once that is `MAX_REQUEST_DELAY`.
+/// The lowest pause after a rejection, as a fraction of the ceiling, once that has reached its maximum.
 const MIN_OVERLOAD_PAUSE_FRACTION: f64 = 0.75;
-/// How long an answer may take in addition to the requested wait. An agent answers at once; a shared
-/// discovery holds requests for up to two seconds before it rejects them.
-const ANSWER_TIMEOUT_SHARED: Duration = Duration::from_millis(3_000);
-const ANSWER_TIMEOUT_AGENT: Duration = Duration::from_millis(1_000);
-
-/// Answer timeout for a retried request to an agent. The sender is expected to know the agent's updates as
-/// soon as the agent recovers, but a request that was sent during the outage may never be answered.
-const RETRY_ANSWER_TIMEOUT_AGENT: Duration = Duration::from_millis(500);
-/// Answer timeout of a watch retried at a shared discovery, and how long that watch waits for changes.
-const RETRY_ANSWER_TIMEOUT_SHARED: Duration = Duration::from_millis(2_000);
-const RETRY_WATCH_WAIT_SHARED: Duration = Duration::from_millis(1_000);
+
+/// The longest time in which the sender must learn of a change, once discovery has it and can be reached.
+pub const MAX_UPDATE_DELAY: Duration = Duration::from_secs(6);
+/// What may pass in addition to pauses, waits and the time that discovery takes: the process may be held up for
+/// 150 ms, and connecting takes time.
+pub const PROCESSING_TIME: Duration = Duration::from_millis(250);
+/// An overloaded discovery takes up to this long to answer a request or to reject it.
+const OVERLOADED_ANSWER_TIME: Duration = Duration::from_secs(2);
+
 /// How long a watch waits for changes. It is short because a watch that is open when discovery fails may
 /// never be answered.
 const WATCH_WAIT: Duration = Duration::from_secs(5);
+/// The shortest wait of a watch that replaces one without an answer at a shared discovery. Waits are drawn at
+/// random, so that the watches of the fleet do not stay aligned while discovery is silent.
+const MIN_REPLACEMENT_WAIT: Duration = Duration::from_millis(3_500);
+/// The full list is requested again if it has not begun to arrive within this time, which depends on the size
+/// of the fleet: a request that an overloaded discovery still holds is not to be doubled.
+const MIN_FULL_LIST_INTERVAL: Duration = Duration::from_millis(1_000);
+const MAX_FULL_LIST_INTERVAL: Duration = Duration::from_millis(2_100);
 
 /// Why a request did not return a list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -79,57 +81,67 @@
         RequestSchedule { mode, polling_cycle, failures: 0, random: fastrand::Rng::with_seed(seed) }
     }
 
+    /// The shortest wait of a watch at a discovery whose answers are late.
+    pub const SHORTEST_WATCH_WAIT: Duration = Duration::from_secs(2);
+
+    pub fn mode(&self) -> DiscoveryMode {
+        self.mode
+    }
+
+    /// Whether the last request failed.
+    pub fn is_failing(&self) -> bool {
+        self.failures > 0
+    }
+
     /// The delay after startup until a sender with a cached list first asks for changes.
     pub fn initial_delay(&mut self) -> Duration {
-        self.polling_cycle.min(MAX_REQUEST_DELAY).mul_f64(self.random.f64())
+        self.polling_cycle.min(longest_pause(Duration::ZERO)).mul_f64(self.random.f64())
     }
 
-    /// How long an answer may take in addition to the requested wait before the request has failed. A first
-    /// watch without an answer at the end of its wait has failed in either mode: it had been admitted, so it
-    /// is not one that an overloaded discovery rejects. The sender is expected to know what that watch missed
-    /// two seconds later.
-    pub fn answer_timeout(&self, is_watch: bool) -> Duration {
+    /// How long the next watch waits for changes, when discovery has been silent for `silence`.
+    pub fn watch_wait(&mut self, silence: Duration) -> Duration {
+        let is_replacement = self.is_failing() || silence > WATCH_WAIT;
         match self.mode {
-            DiscoveryMode::Agent if is_watch && self.failures > 0 => RETRY_ANSWER_TIMEOUT_AGENT,
-            DiscoveryMode::Shared if is_watch && self.failures > 0 => RETRY_ANSWER_TIMEOUT_SHARED,
-            DiscoveryMode::Shared if !is_watch => ANSWER_TIMEOUT_SHARED,
-            _ => ANSWER_TIMEOUT_AGENT,
+            DiscoveryMode::Shared if is_replacement => self.replacement_wait(),
+            _ => WATCH_WAIT,
         }
     }
 
-    /// How long the next watch waits for changes. After a failure, an agent is asked not to wait: it returns
-    /// what it has at once and at no cost, or is still unavailable. A shared discovery is asked for a short
-    /// watch, which continues normally once it is answered.
-    pub fn watch_wait(&self) -> Duration {
+    fn replacement_wait(&mut self) -> Duration {
+        MIN_REPLACEMENT_WAIT + (WATCH_WAIT - MIN_REPLACEMENT_WAIT).mul_f64(self.random.f64())
+    }
+
+    /// How long the full list may take to arrive before it is requested again. `is_repeated` tells whether an
+    /// earlier request for it is outstanding.
+    pub fn full_list_interval(&mut self, is_repeated: bool) -> Duration {
         match self.mode {
-            DiscoveryMode::Agent if self.failures > 0 => Duration::ZERO,
-            DiscoveryMode::Shared if self.failures > 0 => RETRY_WATCH_WAIT_SHARED,
-            _ => WATCH_WAIT,
+            DiscoveryMode::Agent => MIN_FULL_LIST_INTERVAL,
+            DiscoveryMode::Shared if is_repeated => self.replacement_wait(),
+            DiscoveryMode::Shared => self.polling_cycle.clamp(MIN_FULL_LIST_INTERVAL, MAX_FULL_LIST_INTERVAL),
         }
     }
 
-    /// The pause after a watch timed out. It is short enough to open a new watch before the sender is
-    /// expected to know what the lost one missed. If the new one fails too, discovery is overloaded or down,
-    /// and the pause is that of any failed request.
-    pub fn watch_lost(&mut self) -> Duration {
-        if self.failures > 0 {
-            return self.failed(Failure::Unavailable);
-        }
-        self.failures = 1;
+    /// The pause after a poll of an agent got no answer.
+    pub fn poll_pause(&mut self) -> Duration {
+        self.shortest_pause() + MAX_BACKOFF_AGENT.mul_f64(self.random.f64())
+    }
+
+    /// The shortest pause of all. Never zero: a request that fails immediately would otherwise be repeated as
+    /// fast as the process can.
+    pub fn shortest_pause(&self) -> Duration {
         MIN_BACKOFF_CEILING / 2
-            + self.polling_cycle.clamp(MIN_BACKOFF_CEILING, MAX_BACKOFF_AGENT).mul_f64(self.random.f64())
     }
 
     /// The pause after a watch returned without changes long before the end of its wait. Without a pause,
     /// requests would follow one another as fast as discovery can answer them. After the pause at an agent
     /// (less than 200 ms) the next request still counts as the same watch. At a shared discovery it is a new
-    /// watch, whose answer includes what changed in between.
-    pub fn premature_return(&mut self) -> Duration {
+    /// watch, whose answer includes what changed in between. Answers come `answer_delay` late.
+    pub fn premature_return(&mut self, answer_delay: Duration) -> Duration {
         match self.mode {
             DiscoveryMode::Agent => MIN_BACKOFF_CEILING,
             DiscoveryMode::Shared => {
-                let spread = self.polling_cycle.min(MAX_REQUEST_DELAY - MIN_BACKOFF_CEILING);
-                MIN_BACKOFF_CEILING + spread.mul_f64(self.random.f64())
+                let longest = longest_pause(answer_delay).saturating_sub(MIN_BACKOFF_CEILING);
+                MIN_BACKOFF_CEILING + self.polling_cycle.min(longest).mul_f64(self.random.f64())
             }
         }
     }
@@ -139,22 +151,33 @@
         self.failures = 0;
     }
 
-    /// The pause after a failed request.
-    pub fn failed(&mut self, failure: Failure) -> Duration {
+    /// The pause after a failed request. Answers come `answer_delay` late; a rejection came `elapsed` after its
+    /// request.
+    pub fn failed(&mut self, failure: Failure, answer_delay: Duration, elapsed: Duration) -> Duration {
+        // Discovery may have decided on a rejection when the request reached it, unless it is overloaded.
+        let is_late = failure == Failure::Rejected && elapsed > OVERLOADED_ANSWER_TIME + PROCESSING_TIME;
+        let rejection_delay = if is_late { elapsed } else { Duration::ZERO };
+        let longest = longest_pause(answer_delay.max(rejection_delay)).saturating_sub(rejection_delay);
         let doubled = self.polling_cycle.max(MIN_BACKOFF_CEILING).saturating_mul(1 << self.failures.min(16));
         let ceiling = match self.mode {
             _ if failure == Failure::ListTooLarge => MAX_BACKOFF_SHARED,
             DiscoveryMode::Agent => doubled.min(MAX_BACKOFF_AGENT),
-            DiscoveryMode::Shared if failure == Failure::Rejected => doubled.min(MAX_REQUEST_DELAY),
+            DiscoveryMode::Shared if failure == Failure::Rejected => doubled,
             DiscoveryMode::Shared => doubled.min(MAX_BACKOFF_SHARED),
         };
-        let lowest = if ceiling == MAX_REQUEST_DELAY { MIN_OVERLOAD_PAUSE_FRACTION } else { 0.0 };
+        let ceiling = ceiling.min(longest);
+        let is_overload = failure == Failure::Rejected && ceiling == longest;
+        let lowest = if is_overload { MIN_OVERLOAD_PAUSE_FRACTION } else { 0.0 };
         self.failures = self.failures.saturating_add(1);
-        // Never zero: a request that fails immediately would otherwise be repeated as fast as the process
-        // can.
-        MIN_BACKOFF_CEILING / 2 + ceiling.mul_f64(lowest + (1.0 - lowest) * self.random.f64())
+        self.shortest_pause() + ceiling.mul_f64(lowest + (1.0 - lowest) * self.random.f64())
     }
 }
 
+/// The longest delay of a request beyond the shortest pause, where answers come `answer_delay` late.
+fn longest_pause(answer_delay: Duration) -> Duration {
+    let answer_time = answer_delay.max(OVERLOADED_ANSWER_TIME);
+    MAX_UPDATE_DELAY.saturating_sub(answer_time + PROCESSING_TIME + MIN_BACKOFF_CEILING / 2)
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/serve/nickelshed/src/discovery/transfer.rs
+++ b/crates/serve/nickelshed/src/discovery/transfer.rs
@@ -4,7 +4,7 @@
 use tokio::time::Instant;
 
 /// The body of an answer must grow by `MIN_PROGRESS_BYTES` in each period of this length.
-const PROGRESS_PERIOD: Duration = Duration::from_secs(1);
+pub const PROGRESS_PERIOD: Duration = Duration::from_secs(1);
 const MIN_PROGRESS_BYTES: usize = 8 << 10;
 /// The longest time for one body.
 const MAX_TRANSFER_TIME: Duration = Duration::from_secs(30);
@@ -31,13 +31,15 @@
         }
     }
 
-    /// Records that bytes of the body have arrived.
-    pub fn received(&mut self, now: Instant, bytes: usize) {
+    /// Records that bytes of the body have arrived. Returns whether they complete the progress of a period.
+    pub fn received(&mut self, now: Instant, bytes: usize) -> bool {
         self.period_bytes = self.period_bytes.saturating_add(bytes);
-        if self.period_bytes >= MIN_PROGRESS_BYTES {
+        let has_progressed = self.period_bytes >= MIN_PROGRESS_BYTES;
+        if has_progressed {
             self.period_bytes = 0;
             self.period_end = now + PROGRESS_PERIOD;
         }
+        has_progressed
     }
 
     /// When to give up, unless more bytes arrive before that.
