--- a/crates/serve/nickelshed/src/discovery.rs
+++ b/crates/serve/nickelshed/src/discovery.rs
@@ -26,6 +26,8 @@
 const MAX_STARTUP_WAIT: Duration = Duration::from_millis(300);
 /// Discovery answers within this time if it already has what is asked for.
 const IMMEDIATE_ANSWER_TIME: Duration = Duration::from_millis(50);
+/// Where answers are late, requests overlap and use several connections in turn.
+const MAX_IDLE_CONNECTIONS: usize = 2;
 /// The memory limit of the process divided by this is what the entries of one list may use while they are read.
 const LIST_MEMORY_DIVISOR: f64 = 8.0;
 
@@ -93,7 +95,7 @@
         address: address_rx.latest(),
         plan: RequestPlan::new(Instant::now(), schedule, generation, initial_delay),
         tasks: HashMap::new(),
-        idle_connection: None,
+        idle_connections: Vec::new(),
         is_failing: false,
         max_list_bytes: (memory_mb * 1e6 / LIST_MEMORY_DIVISOR) as usize,
         events: event_tx,
@@ -121,8 +123,8 @@
     address: SocketAddr,
     plan: RequestPlan,
     tasks: HashMap<RequestId, RequestTask>,
-    /// The connection of an earlier request, for the next one.
-    idle_connection: Option<Connection<H>>,
+    /// The connections of earlier requests, for the next ones; the last one was used last.
+    idle_connections: Vec<Connection<H>>,
     /// Whether a failure has been reported, and no success since.
     is_failing: bool,
     max_list_bytes: usize,
@@ -159,7 +161,7 @@
         let exchange = Exchange {
             host: self.host.clone(),
             address: self.address,
-            idle_connection: self.idle_connection.take(),
+            idle_connection: self.idle_connections.pop(),
             max_list_bytes: self.max_list_bytes,
             events: self.events.clone(),
         };
@@ -197,7 +199,7 @@
                 tracing::info!(generation, "ignoring what may be a copied answer of discovery");
                 return None;
             }
-            ListUse::Apply | ListUse::Skip => self.idle_connection = Some(answer.connection),
+            ListUse::Apply | ListUse::Skip => self.keep_idle(answer.connection),
             ListUse::SkipAndClose => {}
         }
         if std::mem::take(&mut self.is_failing) {
@@ -207,6 +209,13 @@
         (list_use == ListUse::Apply).then_some(answer.list)
     }
 
+    fn keep_idle(&mut self, connection: Connection<H>) {
+        if self.idle_connections.len() >= MAX_IDLE_CONNECTIONS {
+            self.idle_connections.remove(0);
+        }
+        self.idle_connections.push(connection);
+    }
+
     fn report_failure(&mut self, error: &RequestError) {
         if !std::mem::replace(&mut self.is_failing, true) {
             tracing::warn!(%error, "discovery fails; going on with the list held");
@@ -215,7 +224,7 @@
 
     fn change_address(&mut self, address: SocketAddr) {
         self.address = address;
-        self.idle_connection = None;
+        self.idle_connections.clear();
         self.tasks.clear();
         self.plan.discovery_changed(Instant::now());
     }
