--- a/crates/serve/nickelshed/src/discovery/answer_delay.rs
+++ b/crates/serve/nickelshed/src/answer_delay.rs
@@ -1,4 +1,4 @@
-//! Estimates how late discovery's answers are, from the answers that have come. It does no I/O.
+//! Estimates how late the answers of a peer are, from those that have come. It does no I/O.
 use std::time::Duration;
 
 /// How much later than it could an answer arrives. The estimate rises to a longer delay at once and halves the
--- a/crates/serve/nickelshed/src/discovery.rs
+++ b/crates/serve/nickelshed/src/discovery.rs
@@ -1,7 +1,6 @@
 //! Follows the list of endpoints at discovery: requests a full list first, then the changes by a watch (long
 //! poll) that is repeated as soon as it is answered. `requests` decides which requests are outstanding, and
 //! `schedule` how long to pause after a failure.
-mod answer_delay;
 mod exchange;
 mod requests;
 mod schedule;
--- a/crates/serve/nickelshed/src/discovery/requests.rs
+++ b/crates/serve/nickelshed/src/discovery/requests.rs
@@ -12,8 +12,8 @@
 //!
 //! An agent of the sender's own is also polled without a wait as long as it is silent: the sender is expected
 //! to know at once what the agent has when it returns.
-use super::answer_delay::AnswerDelay;
 use super::schedule::{Failure, RequestSchedule, MAX_UPDATE_DELAY, PROCESSING_TIME};
+use crate::answer_delay::AnswerDelay;
 use nickelshed_settings::DiscoveryMode;
 use std::time::Duration;
 use tokio::time::Instant;
--- a/crates/serve/nickelshed/src/lib.rs
+++ b/crates/serve/nickelshed/src/lib.rs
@@ -1,4 +1,5 @@
 //! One sender process: startup, signal handling and wiring of its parts. The executable is `main.rs`.
+mod answer_delay;
 mod answer_head;
 mod calls;
 mod config;
