Run the doctor's test in a program of its own, where no other test starts processes

Cause: the other tests of the file start processes at the same time; between fork and exec such a process holds copies of all descriptors, the dropped listener among them. Change: the test is in doctor.rs, unchanged to the letter; the folder of both files is in tests/common.

--- a/crates/tools/nickelshed-ctl/tests/ctl.rs
+++ b/crates/tools/nickelshed-ctl/tests/ctl.rs
@@ -1,48 +1,16 @@
 //! Runs the program `nickelshed-ctl` and checks its exit codes and output.
+mod common;
+
+use common::{TestFolder, PROGRAM};
 use std::fs;
-use std::net::TcpListener;
 use std::os::unix::fs::symlink;
 use std::path::{Path, PathBuf};
-use std::process::{Command, Output};
+use std::process::Command;
 
-const PROGRAM: &str = env!("CARGO_BIN_EXE_nickelshed-ctl");
 const EXAMPLE: &str = include_str!("../../../../deploy/sidecar.toml");
 
-struct TestFolder(PathBuf);
-
-impl TestFolder {
-    fn new(name: &str) -> TestFolder {
-        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
-        let _ = fs::remove_dir_all(&path);
-        fs::create_dir_all(&path).unwrap();
-        TestFolder(path)
-    }
-
-    fn write(&self, name: &str, text: &str) {
-        fs::write(self.0.join(name), text).unwrap();
-    }
-
-    fn read(&self, name: &str) -> String {
-        fs::read_to_string(self.0.join(name)).unwrap()
-    }
-
-    /// Runs the tool in this folder. Returns its exit code and output.
-    fn run(&self, arguments: &[&str]) -> (i32, String) {
-        exit_code_and_output(Command::new(PROGRAM).args(arguments).current_dir(&self.0).output().unwrap())
-    }
-}
-
-impl Drop for TestFolder {
-    fn drop(&mut self) {
-        if !std::thread::panicking() {
-            let _ = fs::remove_dir_all(&self.0);
-        }
-    }
-}
-
-fn exit_code_and_output(output: Output) -> (i32, String) {
-    let text = [output.stdout, output.stderr].concat();
-    (output.status.code().unwrap_or(-1), String::from_utf8(text).unwrap())
+fn read(folder: &TestFolder, name: &str) -> String {
+    fs::read_to_string(folder.0.join(name)).unwrap()
 }
 
 fn repository(path: &str) -> PathBuf {
@@ -254,20 +222,20 @@
     let folder = TestFolder::new("new");
     let new = ["new", "alarm", "--destination", "gmina:7=127.0.0.1:7501,127.0.0.1:7502", "--loopback-only"];
     assert_eq!(folder.run(&new).0, 0);
-    let first = folder.read("alarm.toml");
+    let first = read(&folder, "alarm.toml");
     assert!(first.contains("# Time after which a message expires and is abandoned."), "{first}");
     assert_eq!(folder.run(&["check", "--deny-warnings", "alarm.toml"]).0, 0);
     assert_eq!(folder.run(&["fmt", "--check", "alarm.toml"]).0, 0);
     let (code, text) = folder.run(&new);
     assert!(code == 2 && text.contains("--force"), "{text}");
-    assert_eq!(folder.read("alarm.toml"), first);
+    assert_eq!(read(&folder, "alarm.toml"), first);
     // A second application gets a different port, also while the first one is not running.
     let mut second = new;
     second[1] = "zapas";
     assert_eq!(folder.run(&second).0, 0);
     assert_eq!(folder.run(&["check", "--deny-warnings", "alarm.toml", "zapas.toml"]).0, 0);
     assert_eq!(folder.run(&[&new[..], &["--force", "--class", "inna:1s:4s:safe"]].concat()).0, 0);
-    assert!(folder.read("alarm.toml").contains("inna"));
+    assert!(read(&folder, "alarm.toml").contains("inna"));
     // A configuration with errors is not written.
     let (code, text) =
         folder.run(&["new", "zly", "--class", "a:5s:4s:safe", "--destination", "g:1=127.0.0.1:1"]);
@@ -285,15 +253,15 @@
         "messy.toml",
         &format!("a=1\n{}", "# ............................................................\n".repeat(40)),
     );
-    let messy = folder.read("messy.toml");
+    let messy = read(&folder, "messy.toml");
     for command in ["new alarm --force --destination gmina:7=127.0.0.1:7501", "fmt messy.toml"] {
         // With SIGXFSZ ignored the write fails; otherwise the signal kills the process during the write.
         for ignored in ["trap '' XFSZ;", ""] {
             let script = format!("{ignored} ulimit -f 1; exec {PROGRAM} {command}");
             let output = Command::new("sh").args(["-c", &script]).current_dir(&folder.0).output().unwrap();
             assert!(!output.status.success());
-            assert_eq!(folder.read("alarm.toml"), "the old one");
-            assert_eq!(folder.read("messy.toml"), messy);
+            assert_eq!(read(&folder, "alarm.toml"), "the old one");
+            assert_eq!(read(&folder, "messy.toml"), messy);
         }
     }
 }
@@ -341,48 +309,13 @@
     folder.write("a.toml", EXAMPLE);
     folder.write("b.toml", &messy);
     assert_eq!(folder.run(&["fmt", "--check", "b.toml"]).0, 1);
-    assert_eq!(folder.read("b.toml"), messy);
+    assert_eq!(read(&folder, "b.toml"), messy);
     assert_eq!(folder.run(&["fmt", "b.toml"]).0, 0);
-    assert_eq!(folder.read("b.toml"), EXAMPLE.replace("[limits]", "[limits] # what it may use"));
+    assert_eq!(read(&folder, "b.toml"), EXAMPLE.replace("[limits]", "[limits] # what it may use"));
     assert_eq!(folder.run(&["fmt", "--check", "b.toml"]).0, 0);
     assert_eq!(folder.run(&["diff", "a.toml", "b.toml"]).1, "No differences.\n");
 }
 
-#[test]
-fn doctor_reports_problems_of_the_host() {
-    let folder = TestFolder::new("doctor");
-    let (occupied, endpoint) =
-        (TcpListener::bind("127.0.0.1:0").unwrap(), TcpListener::bind("127.0.0.1:0").unwrap());
-    let file = |listen: &str, state: &str, sockets: &str| {
-        let endpoint = endpoint.local_addr().unwrap();
-        format!(
-            "application = \"a\"\nlisten = \"{listen}\"\nstate = \"{state}\"\n[limits]\nsockets = {sockets}\nmemory = \"8MB\"\nheld = 50\n\
-             [notices]\nfile = \"n\"\n[[class]]\nname = \"c\"\nwanted_within = \"1s\"\nabandoned_after = \"2s\"\neffect = \"safe\"\n\
-             [[destination]]\nname = \"d\"\nnumber = 1\nendpoints = [\"{endpoint}\"]\n"
-        )
-    };
-    let free_address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
-    folder.write("good.toml", &file(&free_address, "state", "128"));
-    let (code, text) = folder.run(&["doctor", "good.toml"]);
-    assert!(code == 0 && text.contains("0 errors, 0 warnings"), "{text}");
-    assert!(!folder.0.join("state").exists(), "the check creates no folder");
-    folder.write(
-        "occupied.toml",
-        &file(&occupied.local_addr().unwrap().to_string(), "good.toml/state", "1000000000"),
-    );
-    let (code, text) = folder.run(&["doctor", "occupied.toml"]);
-    assert!(code == 1, "{text}");
-    for code_name in ["NS951", "NS952", "NS954"] {
-        assert!(text.contains(code_name), "{code_name}: {text}");
-    }
-    drop(endpoint);
-    let (code, text) = folder.run(&["doctor", "good.toml"]);
-    assert!(
-        code == 0 && text.contains("NS955") && text.contains("cannot connect to the endpoint of d at"),
-        "{text}"
-    );
-}
-
 #[test]
 fn malformed_files_are_reported_with_bounded_output() {
     let folder = TestFolder::new("odd");
