Join the fleet once the member's address can be bound, not only at the first attempt

What callers saw: a sender whose fleet address was in use, or whose machine was short of resources, at its start never joined: it used its share by the settings and was unknown to the others until its next start. Cause: one failed bind ended the member for the rest of the process. Change: the bind is repeated, after 0.1 s first and 5 s at most, until it succeeds or the sender ends. The fleet tests log all members on a timeout. Why it works: the cause of a failed bind is external and may end; nothing else of the member has begun by then.

--- a/crates/serve/nickelshed/src/fleet.rs
+++ b/crates/serve/nickelshed/src/fleet.rs
@@ -16,12 +16,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{sleep_until, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 
 /// Maximum bytes per second that a member sends.
 const MAX_SEND_BYTES_PER_S: u32 = 8_192;
 /// How often the limit quota is updated if the membership view does not change.
 const QUOTA_UPDATE_INTERVAL: Duration = Duration::from_secs(1);
+/// Bounds of the delay after a failed attempt to bind the member's socket, which doubles each time.
+const MIN_BIND_RETRY_DELAY: Duration = Duration::from_millis(100);
+const MAX_BIND_RETRY_DELAY: Duration = Duration::from_secs(5);
 /// The file in the state folder that holds the last start number.
 pub const START_FILE: &str = "fleet-start";
 
@@ -159,6 +162,22 @@
     sender_count: usize,
 }
 
+/// Binds the member's socket. Its address may be in use, or the machine short of resources, for a while only.
+async fn bind_until_successful<H: Host>(host: &H, listen: SocketAddr) -> H::DatagramSocket {
+    let mut retry_delay = MIN_BIND_RETRY_DELAY;
+    loop {
+        match host.bind_datagrams(listen).await {
+            Ok(socket) => return socket,
+            Err(error) if retry_delay == MIN_BIND_RETRY_DELAY => {
+                tracing::error!(%listen, %error, "cannot take the fleet's datagrams yet; running alone until then");
+            }
+            Err(error) => tracing::debug!(%listen, %error, "cannot take the fleet's datagrams yet"),
+        }
+        sleep(retry_delay).await;
+        retry_delay = (retry_delay * 2).min(MAX_BIND_RETRY_DELAY);
+    }
+}
+
 /// Runs the member until the sender of `end` is dropped, then announces that it leaves. `start` counts the
 /// process runs of this member.
 pub async fn run<H: Host>(
@@ -169,13 +188,11 @@
     headroom: Rc<Headroom>,
     mut end: oneshot::Receiver<()>,
 ) {
-    let socket = match host.bind_datagrams(fleet_config.listen).await {
-        Ok(socket) => socket,
-        // Without the fleet the sender uses its share by the settings, so it can still deliver.
-        Err(error) => {
-            tracing::error!(listen = %fleet_config.listen, %error, "cannot take the fleet's datagrams; running alone");
-            return;
-        }
+    // Without the fleet the sender uses its share by the settings, so it can deliver meanwhile.
+    let socket = tokio::select! {
+        biased;
+        _ = &mut end => return,
+        socket = bind_until_successful(&host, fleet_config.listen) => socket,
     };
     // The start number is handed to the core before any other member learns of it. If the process is killed
     // before the core has persisted it, the next process run uses the same number, and members that have seen
--- a/crates/serve/nickelshed/tests/members.rs
+++ b/crates/serve/nickelshed/tests/members.rs
@@ -3,6 +3,7 @@
 use nickelshed_rig::Relay;
 use nickelshed_testkit::*;
 use std::net::{SocketAddr, UdpSocket};
+use std::time::{Duration, Instant};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_nickelshed");
 
@@ -34,8 +35,17 @@
 }
 
 impl Fleet {
+    /// Starts the members and waits until all see one another.
     fn new(member_count: usize) -> Fleet {
-        let (relay, endpoint) = (Relay::new(member_count).unwrap(), FakeServer::new(|_| ok_reply()));
+        let fleet = Fleet::start(Relay::new(member_count).unwrap(), member_count);
+        for number in 0..member_count {
+            fleet.wait_until_present(number, member_count);
+        }
+        fleet
+    }
+
+    fn start(relay: Relay, member_count: usize) -> Fleet {
+        let endpoint = FakeServer::new(|_| ok_reply());
         let start_member = |number: usize| {
             SenderProcess::start_prepared_sidecar(
                 PROGRAM,
@@ -46,11 +56,7 @@
             )
         };
         let senders = (0..member_count).map(start_member).collect();
-        let fleet = Fleet { relay, senders, endpoint };
-        for number in 0..member_count {
-            fleet.wait_until_present(number, member_count);
-        }
-        fleet
+        Fleet { relay, senders, endpoint }
     }
 
     /// Returns the value of `field` in the last log line of a member that contains `text`.
@@ -62,9 +68,19 @@
     }
 
     fn wait_until_present(&self, number: usize, member_count: usize) {
-        self.senders[number].wait_until(&format!("n{number} sees {member_count}"), || {
-            self.last_logged(number, "the view of the fleet has changed", "present") == Some(member_count)
-        });
+        let is_present =
+            || self.last_logged(number, "the view of the fleet has changed", "present") == Some(member_count);
+        let deadline = Instant::now() + WAIT_TIMEOUT;
+        while !is_present() {
+            assert!(Instant::now() < deadline, "n{number} does not see {member_count}:{}", self.logs());
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// The logs of all members.
+    fn logs(&self) -> String {
+        let logs = self.senders.iter().enumerate();
+        logs.map(|(number, sender)| format!("\nn{number}:\n{}", sender.log())).collect()
     }
 
     fn wait_until_sender_count(&self, number: usize, sender_count: usize) {
@@ -94,6 +110,20 @@
     }
 }
 
+/// Guards against a member that runs alone for good because its address was in use for a moment at its start.
+#[test]
+fn member_joins_the_fleet_once_its_address_is_free() {
+    let relay = Relay::new(3).unwrap();
+    let occupant = UdpSocket::bind(relay.member_address(2)).unwrap();
+    let fleet = Fleet::start(relay, 3);
+    (0..2).for_each(|n| fleet.wait_until_present(n, 2));
+    fleet.senders[2].wait_until("n2 finds its address in use", || {
+        fleet.senders[2].log().contains("cannot take the fleet")
+    });
+    drop(occupant);
+    (0..3).for_each(|n| fleet.wait_until_present(n, 3));
+}
+
 #[test]
 fn members_find_each_other_share_limits_and_take_over_the_share_of_one_that_leaves() {
     let mut fleet = Fleet::new(3);
