Give each member of a test fleet an address that nothing else uses

The rig found free ports by binding and dropping sockets, so another test's socket could take one before the member bound it; that member then ran alone for good. Members now listen at loopback addresses and ports below the ephemeral range, as senders do.

--- a/crates/proof/nickelshed-rig/src/relay.rs
+++ b/crates/proof/nickelshed-rig/src/relay.rs
@@ -34,17 +34,14 @@
 }
 
 impl Relay {
-    /// Opens a socket for each member, on ports that the kernel picks, and finds free ports for the members
-    /// themselves.
+    /// Opens a socket for each member, on ports that the kernel picks. The members themselves are to listen at
+    /// `member_addresses`, which nothing else may use meanwhile.
     ///
     /// # Errors
     /// Fails if no port is free.
-    pub fn new(members: usize) -> io::Result<Relay> {
-        let bind = || UdpSocket::bind("127.0.0.1:0");
-        let sockets = (0..members).map(|_| bind()).collect::<io::Result<Vec<_>>>()?;
-        let reserved = (0..members).map(|_| bind()).collect::<io::Result<Vec<_>>>()?;
-        let member_addresses = reserved.iter().map(UdpSocket::local_addr).collect::<io::Result<Vec<_>>>()?;
-        drop(reserved);
+    pub fn new(member_addresses: Vec<SocketAddr>) -> io::Result<Relay> {
+        let bind = |_: &SocketAddr| UdpSocket::bind("127.0.0.1:0");
+        let sockets = member_addresses.iter().map(bind).collect::<io::Result<Vec<_>>>()?;
         for socket in &sockets {
             socket.set_read_timeout(Some(Duration::from_millis(50)))?;
         }
--- a/crates/proof/nickelshed-testkit/src/lib.rs
+++ b/crates/proof/nickelshed-testkit/src/lib.rs
@@ -13,7 +13,7 @@
 pub use disk::{Disk, Fault, File as DiskFile};
 pub use fake_server::{http_reply, ok_reply, read_http_message, FakeServer, HttpMessage, Reply, ReplyCase};
 pub use fault_proxy::{AnswerFault, FaultProxy, ProxiedCall};
-pub use sender_process::{send_request, submission_request, SenderProcess};
+pub use sender_process::{send_request, submission_request, unused_address, SenderProcess};
 
 use std::time::Duration;
 
--- a/crates/proof/nickelshed-testkit/src/sender_process.rs
+++ b/crates/proof/nickelshed-testkit/src/sender_process.rs
@@ -55,6 +55,11 @@
     SocketAddr::from((ip, first_port + (number % 5_000) as u16))
 }
 
+/// A loopback address that nothing else on this machine uses.
+pub fn unused_address() -> SocketAddr {
+    unique_address(PROCESS_COUNT.fetch_add(1, Ordering::Relaxed))
+}
+
 /// A sender process with its folder. A restart keeps the folder, name and address. Dropping it kills the
 /// process and removes the folder, which stays if the test panics.
 pub struct SenderProcess {
--- a/crates/serve/nickelshed/tests/members.rs
+++ b/crates/serve/nickelshed/tests/members.rs
@@ -34,10 +34,14 @@
     )
 }
 
+fn start_relay(member_count: usize) -> Relay {
+    Relay::new((0..member_count).map(|_| unused_address()).collect()).unwrap()
+}
+
 impl Fleet {
     /// Starts the members and waits until all see one another.
     fn new(member_count: usize) -> Fleet {
-        let fleet = Fleet::start(Relay::new(member_count).unwrap(), member_count);
+        let fleet = Fleet::start(start_relay(member_count), member_count);
         for number in 0..member_count {
             fleet.wait_until_present(number, member_count);
         }
@@ -113,7 +117,7 @@
 /// Guards against a member that runs alone for good because its address was in use for a moment at its start.
 #[test]
 fn member_joins_the_fleet_once_its_address_is_free() {
-    let relay = Relay::new(3).unwrap();
+    let relay = start_relay(3);
     let occupant = UdpSocket::bind(relay.member_address(2)).unwrap();
     let fleet = Fleet::start(relay, 3);
     (0..2).for_each(|n| fleet.wait_until_present(n, 2));
