--- a/crates/serve/nickelshed/src/discovery/requests.rs
+++ b/crates/serve/nickelshed/src/discovery/requests.rs
@@ -256,7 +256,8 @@
             return ListUse::Skip;
         }
         self.generation = Some(list.generation);
-        let is_premature = !has_changes && elapsed < request.kind.wait() / 2;
+        let is_unchanged = !has_changes && requested == self.generation;
+        let is_premature = is_unchanged && elapsed < request.kind.wait() / 2;
         if is_premature {
             self.next_request_at = now + self.schedule.premature_return(self.answer_delay());
             return ListUse::SkipAndClose;
--- a/crates/serve/nickelshed/src/discovery/requests/tests.rs
+++ b/crates/serve/nickelshed/src/discovery/requests/tests.rs
@@ -430,6 +430,21 @@
     assert_eq!(plan.generation, Some(2));
 }
 
+/// Guards against a pause after an answer that tells a newer generation without entries.
+#[test]
+fn only_a_premature_answer_without_a_newer_generation_is_followed_by_a_pause() {
+    let start = Instant::now();
+    for mode in MODES {
+        let schedule = RequestSchedule::new(mode, 300, 1);
+        let mut plan = RequestPlan::new(start, schedule, Some(5), Duration::ZERO);
+        let first = sent(&mut plan, start).unwrap();
+        assert_eq!(plan.answered(start + ms(10), first.id, watch_list(6, false)), ListUse::Skip);
+        let second = sent(&mut plan, start + ms(10)).expect("the next watch follows at once");
+        assert_eq!(plan.answered(start + ms(20), second.id, watch_list(6, false)), ListUse::SkipAndClose);
+        assert_eq!(sent(&mut plan, start + ms(50)), None, "{mode:?}");
+    }
+}
+
 /// Guards against requesting a large list again and again while it arrives.
 #[test]
 fn list_that_is_arriving_is_not_requested_again() {
