Soak: a call that is read after its sender has closed it began before the one that replaced it

Cause: the endpoint stamps a call when its thread reads the request. A thread that is late reads it when the sender has given the call up, closed the connection and called again elsewhere, so the order is reversed. The live call meanwhile lost its end, as its entry had been taken out. Change: a call whose close has already come when it is read, within 50 ms of an open call for the message, is recorded before that one (the same 50 ms hold for the reverse order). A call in question keeps its end. Overlaps in which both calls stay open are reported as before.

--- a/crates/proof/nickelshed-soak/src/endpoint.rs
+++ b/crates/proof/nickelshed-soak/src/endpoint.rs
@@ -37,29 +37,42 @@
     executed_keys: Mutex<HashSet<String>>,
 }
 
+/// A call whose end is not recorded yet.
+struct OpenCall {
+    call: u64,
+    stream: TcpStream,
+    began_at: Instant,
+    /// A later call for the same message is finding out whether this one had been closed before.
+    is_in_question: bool,
+    /// The end that was seen while it was in question.
+    end: Option<(Instant, CallEnd)>,
+}
+
 /// The calls of an endpoint, by the id of their message.
 #[derive(Default)]
 struct Calls {
     /// Calls without an end.
-    open: HashMap<String, Vec<(u64, TcpStream)>>,
+    open: HashMap<String, Vec<OpenCall>>,
     /// When the last call that ended with the close of its connection was seen to end.
     closed_at: HashMap<String, Instant>,
 }
 
+impl Calls {
+    fn forget(&mut self, call: u64, id: &str) {
+        let Some(open) = self.open.get_mut(id) else { return };
+        open.retain(|open_call| open_call.call != call);
+        if open.is_empty() {
+            self.open.remove(id);
+        }
+    }
+}
+
 impl SoakEndpoint {
     /// `faulty_answers` is the fraction of the answers that are struck by a fault.
     pub fn start(dest: u64, seed: u64, faulty_answers: f64, history: History) -> SoakEndpoint {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let shared = Arc::new(Shared {
-            dest,
-            faulty_answers,
-            reports_load: (seed + dest).is_multiple_of(2),
-            random: Mutex::new(fastrand::Rng::with_seed(seed.wrapping_mul(31) + dest)),
-            history,
-            calls: Mutex::default(),
-            executed_keys: Mutex::default(),
-        });
+        let shared = Arc::new(Shared::new(dest, seed, faulty_answers, history));
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let shared = shared.clone();
@@ -71,6 +84,18 @@
 }
 
 impl Shared {
+    fn new(dest: u64, seed: u64, faulty_answers: f64, history: History) -> Shared {
+        Shared {
+            dest,
+            faulty_answers,
+            reports_load: (seed + dest).is_multiple_of(2),
+            random: Mutex::new(fastrand::Rng::with_seed(seed.wrapping_mul(31) + dest)),
+            history,
+            calls: Mutex::default(),
+            executed_keys: Mutex::default(),
+        }
+    }
+
     /// Answers the calls on a connection until it ends.
     fn serve(&self, stream: &TcpStream) {
         let Ok(reader) = stream.try_clone() else { return };
@@ -105,21 +130,47 @@
 
     fn begin_call(&self, call: u64, request: &HttpMessage, stream: &TcpStream) {
         let (id, received_at) = (request.message_id(), request.received_at);
-        let (earlier, closed_at) = {
-            let mut calls = self.calls.lock().unwrap();
-            (calls.open.remove(id).unwrap_or_default(), calls.closed_at.get(id).copied())
-        };
+        if self.record_if_given_up(call, request, stream) {
+            return;
+        }
+        let (earlier, closed_at) = self.question_open_calls(id);
         // The threads of two connections may see the close of one and the request on the other in either order.
         let closed_meanwhile =
             closed_at.filter(|at| (received_at..received_at + CLOSE_ARRIVAL_TIME).contains(at));
         let at = closed_meanwhile.map_or(received_at, |closed_at| closed_at + Duration::from_micros(1));
         for (earlier_call, earlier_stream) in earlier {
-            if is_closed_within(&earlier_stream, CLOSE_ARRIVAL_TIME) {
-                let closed_at = at.checked_sub(Duration::from_micros(1)).unwrap_or(at);
-                self.history
-                    .record_at(closed_at, EventKind::Over { call: earlier_call, end: CallEnd::Closed });
-            }
+            let was_closed = is_closed_within(&earlier_stream, CLOSE_ARRIVAL_TIME);
+            let closed_at = at.checked_sub(Duration::from_micros(1)).unwrap_or(at);
+            self.settle_question(earlier_call, id, was_closed.then_some(closed_at));
+        }
+        self.record_call(call, id, at);
+        if let Ok(stream) = stream.try_clone() {
+            let open_call = OpenCall { call, stream, began_at: at, is_in_question: false, end: None };
+            self.calls.lock().unwrap().open.entry(id.to_string()).or_default().push(open_call);
+        }
+    }
+
+    /// The thread of a connection may read a request long after it has arrived. If the sender has closed the
+    /// connection and made the call elsewhere meanwhile, this one was over before the other began.
+    fn record_if_given_up(&self, call: u64, request: &HttpMessage, stream: &TcpStream) -> bool {
+        let id = request.message_id();
+        let began_at = {
+            let calls = self.calls.lock().unwrap();
+            calls.open.get(id).and_then(|open| open.iter().map(|other| other.began_at).min())
+        };
+        let is_recent = |at: &Instant| request.received_at <= *at + CLOSE_ARRIVAL_TIME;
+        let Some(other_began_at) = began_at.filter(is_recent) else { return false };
+        if !has_been_closed(stream) {
+            return false;
         }
+        let before =
+            |micros| other_began_at.checked_sub(Duration::from_micros(micros)).unwrap_or(other_began_at);
+        self.record_call(call, id, before(2));
+        self.history.record_at(before(1), EventKind::Over { call, end: CallEnd::Closed });
+        true
+    }
+
+    fn record_call(&self, call: u64, id: &str, at: Instant) {
         let kind = EventKind::Call {
             call,
             sender: 0,
@@ -132,20 +183,44 @@
             first_byte: self.history.to_us(at),
         };
         self.history.record_at(at, kind);
-        if let Ok(stream) = stream.try_clone() {
-            self.calls.lock().unwrap().open.entry(id.to_string()).or_default().push((call, stream));
-        }
     }
 
-    /// Records the end of a call, unless a later call for the same message has recorded it.
+    /// Returns the open calls for a message, whose ends are not recorded until `settle_question`, and when the
+    /// last call for it was closed.
+    fn question_open_calls(&self, id: &str) -> (Vec<(u64, TcpStream)>, Option<Instant>) {
+        let mut calls = self.calls.lock().unwrap();
+        let closed_at = calls.closed_at.get(id).copied();
+        let open = calls.open.get_mut(id).map(|open| open.iter_mut()).into_iter().flatten();
+        let question = |open_call: &mut OpenCall| {
+            open_call.is_in_question = true;
+            Some((open_call.call, open_call.stream.try_clone().ok()?))
+        };
+        (open.filter_map(question).collect(), closed_at)
+    }
+
+    /// Records the end of a call that was in question, if it has ended: its answer, or else the close.
+    fn settle_question(&self, call: u64, id: &str, closed_at: Option<Instant>) {
+        let mut calls = self.calls.lock().unwrap();
+        let open = calls.open.get_mut(id).map(|open| open.iter_mut()).into_iter().flatten();
+        let Some(open_call) = open.into_iter().find(|open_call| open_call.call == call) else { return };
+        open_call.is_in_question = false;
+        let answered = open_call.end.filter(|(_, end)| *end != CallEnd::Closed);
+        let closed = closed_at.map(|at| (at, CallEnd::Closed));
+        let Some((at, end)) = answered.or(closed).or(open_call.end) else { return };
+        calls.forget(call, id);
+        self.history.record_at(at, EventKind::Over { call, end });
+    }
+
+    /// Records the end of a call, unless a later call for the same message has recorded it or is about to.
     fn end_call(&self, call: u64, id: &str, at: Instant, end: CallEnd) {
         let mut calls = self.calls.lock().unwrap();
         let Some(open) = calls.open.get_mut(id) else { return };
-        let Some(position) = open.iter().position(|(open, _)| *open == call) else { return };
-        open.remove(position);
-        if open.is_empty() {
-            calls.open.remove(id);
+        let Some(open_call) = open.iter_mut().find(|open_call| open_call.call == call) else { return };
+        if open_call.is_in_question {
+            open_call.end.get_or_insert((at, end));
+            return;
         }
+        calls.forget(call, id);
         if end == CallEnd::Closed {
             calls.closed_at.insert(id.to_string(), at);
         }
@@ -216,6 +291,17 @@
     }
 }
 
+/// Whether the peer's close has arrived.
+fn has_been_closed(stream: &TcpStream) -> bool {
+    let _ = stream.set_nonblocking(true);
+    let peeked = stream.peek(&mut [0]);
+    let _ = stream.set_nonblocking(false);
+    match peeked {
+        Ok(count) => count == 0,
+        Err(error) => error.kind() != ErrorKind::WouldBlock,
+    }
+}
+
 fn copy_later(stream: &TcpStream, bytes: Vec<u8>, delay: Duration) {
     let Ok(mut stream) = stream.try_clone() else { return };
     std::thread::spawn(move || {
@@ -224,3 +310,6 @@
         let _ = stream.write_all(&bytes);
     });
 }
+
+#[cfg(test)]
+mod tests;
