Record what a failing disk has held up before the process ends after SIGTERM

Its log is lost with the disk. Cause: core.rs, is_finished: records that the disk had not taken did not keep the process from ending, so it ended up to 2.8 s before it had to. Evidence: with the disk failing until 2.5 s after SIGTERM, the endpoint gets the message twice (410 and 200). Change: unwritten records count as work in flight; EXIT_AFTER bounds the wait as before. Why it works: the writes are repeated each 250 ms, so a disk that recovers before EXIT_AFTER has the end before the process is gone.

--- a/crates/serve/nickelshed/src/core.rs
+++ b/crates/serve/nickelshed/src/core.rs
@@ -240,7 +240,8 @@
     fn is_finished(&self) -> bool {
         let nothing_in_flight = self.attempts_in_flight.is_empty()
             && self.undelivered_notices.is_empty()
-            && self.uncommitted.is_empty();
+            && self.uncommitted.is_empty()
+            && self.unwritten.first_record().is_none();
         let nothing_open = self.open_messages.is_empty() && !self.provisional.has_endings();
         self.shutdown_deadline.is_some()
             && nothing_in_flight
--- a/crates/serve/nickelshed/tests/full_disk.rs
+++ b/crates/serve/nickelshed/tests/full_disk.rs
@@ -7,6 +7,8 @@
 
 /// Much longer than the sender takes to send a message again, or to post a notice.
 const QUIET_PERIOD: Duration = Duration::from_millis(1_000);
+/// How long after SIGTERM the disk works again. The process may use 3.7 s.
+const TIME_AFTER_SIGTERM: Duration = Duration::from_millis(2_500);
 /// How long an endpoint takes to answer a call during which the disk begins to fail.
 const CALL_TIME: Duration = Duration::from_millis(400);
 
@@ -50,6 +52,30 @@
     }
 }
 
+/// Guards against a process that ends after SIGTERM while its disk fails, and leaves the end of a message unrecorded
+/// that it had time to record.
+#[test]
+fn message_that_ended_while_the_disk_failed_is_not_sent_again_after_sigterm() {
+    for status in ["410 Gone", "200 OK"] {
+        let (endpoint, _discovery, mut sender) = start_with_slow_endpoint(status);
+        sender.config["settings"]["Limits"]["MaxAttempts"] = json!(8);
+        assert_eq!(sender.submit("alert", "slow", 7, 16_000, b"x"), 202);
+        sender.limit_file_size(Some(0));
+        endpoint.wait_for_message("slow", 1);
+        sender.terminate();
+        std::thread::sleep(TIME_AFTER_SIGTERM);
+        if sender.is_running() {
+            sender.limit_file_size(None);
+        }
+        sender.wait_for_exit();
+        sender.restart();
+        assert_eq!(sender.submit("alert", "next", 7, 16_000, b"x"), 202);
+        endpoint.wait_for_message("next", 1);
+        std::thread::sleep(QUIET_PERIOD);
+        assert_eq!(endpoint.wait_for_message("slow", 1).len(), 1, "{status}");
+    }
+}
+
 #[test]
 fn a_notice_is_posted_only_once_its_ending_is_recorded() {
     let (endpoint, discovery, sender) = start_with_slow_endpoint("503 Full");
