--- a/crates/serve/nickelshed/tests/members.rs
+++ b/crates/serve/nickelshed/tests/members.rs
@@ -71,16 +71,22 @@
         line[start..].split_whitespace().next()?.parse().ok()
     }
 
-    fn wait_until_present(&self, number: usize, member_count: usize) {
-        let is_present =
-            || self.last_logged(number, "the view of the fleet has changed", "present") == Some(member_count);
+    /// Waits until `condition` holds. `expected` describes it in the message of the panic on a timeout, which has
+    /// the logs of all members.
+    fn wait_until(&self, expected: &str, condition: impl Fn() -> bool) {
         let deadline = Instant::now() + WAIT_TIMEOUT;
-        while !is_present() {
-            assert!(Instant::now() < deadline, "n{number} does not see {member_count}:{}", self.logs());
+        while !condition() {
+            assert!(Instant::now() < deadline, "timed out waiting until {expected}:{}", self.logs());
             std::thread::sleep(Duration::from_millis(10));
         }
     }
 
+    fn wait_until_present(&self, number: usize, member_count: usize) {
+        self.wait_until(&format!("n{number} sees {member_count}"), || {
+            self.last_logged(number, "the view of the fleet has changed", "present") == Some(member_count)
+        });
+    }
+
     /// The logs of all members.
     fn logs(&self) -> String {
         let logs = self.senders.iter().enumerate();
@@ -88,7 +94,7 @@
     }
 
     fn wait_until_sender_count(&self, number: usize, sender_count: usize) {
-        self.senders[number].wait_until(&format!("n{number} shares limits among {sender_count}"), || {
+        self.wait_until(&format!("n{number} shares limits among {sender_count}"), || {
             self.last_logged(number, "each limit is shared among", "senders") == Some(sender_count)
         });
     }
@@ -110,7 +116,7 @@
     /// Waits until `count` more datagrams have passed between the members.
     fn wait_for_datagrams(&self, count: u64) {
         let count_before = self.relay.received_count();
-        self.senders[0].wait_until("datagrams pass", || self.relay.received_count() > count_before + count);
+        self.wait_until("datagrams pass", || self.relay.received_count() > count_before + count);
     }
 }
 
