Read only one large list of discovery at a time

What callers would see: with answers that are late, several requests are outstanding, and long lists that arrive beside one another took the memory of one list (an eighth of the limit) several times. Found by reading the change again. Change: a list beyond an eighth of the bound waits, unread, until no other large one is being read.

--- a/crates/serve/nickelshed/src/discovery.rs
+++ b/crates/serve/nickelshed/src/discovery.rs
@@ -16,8 +16,9 @@
 pub use schedule::RequestSchedule;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, Semaphore};
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{sleep_until, Instant};
 
@@ -97,6 +98,7 @@
         idle_connections: Vec::new(),
         is_failing: false,
         max_list_bytes: (memory_mb * 1e6 / LIST_MEMORY_DIVISOR) as usize,
+        large_list: Arc::new(Semaphore::new(1)),
         events: event_tx,
     };
     loop {
@@ -127,6 +129,8 @@
     /// Whether a failure has been reported, and no success since.
     is_failing: bool,
     max_list_bytes: usize,
+    /// Taken by the list that may use all of `max_list_bytes`.
+    large_list: Arc<Semaphore>,
     events: mpsc::UnboundedSender<Event<H>>,
 }
 
@@ -162,6 +166,7 @@
             address: self.address,
             idle_connection: self.idle_connections.pop(),
             max_list_bytes: self.max_list_bytes,
+            large_list: self.large_list.clone(),
             events: self.events.clone(),
         };
         self.tasks.insert(request.id, RequestTask(spawn_local(exchange.run(request))));
--- a/crates/serve/nickelshed/src/discovery/exchange.rs
+++ b/crates/serve/nickelshed/src/discovery/exchange.rs
@@ -9,11 +9,14 @@
 use hyper::body::Incoming;
 use nickelshed_host::Host;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, Semaphore};
 use tokio::time::{timeout_at, Instant};
 
 const DIAL_TIMEOUT: Duration = Duration::from_secs(1);
+/// The memory that the entries of one list may use, divided by this, is what each list may use beside a large one.
+const LARGE_LIST_DIVISOR: usize = 8;
 
 /// Why a request to discovery did not return a list.
 #[derive(Debug)]
@@ -55,6 +58,9 @@
     pub idle_connection: Option<Connection<H>>,
     /// Memory that the entries of the list may use, in bytes.
     pub max_list_bytes: usize,
+    /// Its permit is needed for a list beyond a small part of that, so that lists which arrive beside one another do
+    /// not use it several times.
+    pub large_list: Arc<Semaphore>,
     pub events: mpsc::UnboundedSender<Event<H>>,
 }
 
@@ -101,6 +107,7 @@
     async fn read_list(&self, mut body: Incoming, request: Request) -> Result<EndpointList, RequestError> {
         let mut transfer = TransferDeadline::new(request.deadline, Instant::now());
         let mut reader = ListReader::new(self.max_list_bytes);
+        let mut permit = None;
         loop {
             let frame = timeout_at(transfer.deadline(), body.frame()).await;
             let Some(frame) = frame.map_err(|_| RequestError::TimedOut)? else { break };
@@ -110,6 +117,10 @@
                 self.report_progress(request.id);
             }
             reader.push(&data).map_err(RequestError::InvalidList)?;
+            if permit.is_none() && reader.instance_bytes() > self.max_list_bytes / LARGE_LIST_DIVISOR {
+                let acquired = timeout_at(transfer.deadline(), self.large_list.acquire()).await;
+                permit = Some(acquired.map_err(|_| RequestError::TimedOut)?);
+            }
         }
         reader.finish().map_err(RequestError::InvalidList)
     }
--- a/crates/serve/nickelshed/src/list/reader.rs
+++ b/crates/serve/nickelshed/src/list/reader.rs
@@ -102,6 +102,11 @@
         Ok(())
     }
 
+    /// Memory that the entries read so far use, in bytes.
+    pub fn instance_bytes(&self) -> usize {
+        self.instance_bytes
+    }
+
     /// Returns the list after the last byte.
     ///
     /// # Errors
--- a/crates/serve/nickelshed/tests/large_lists.rs
+++ b/crates/serve/nickelshed/tests/large_lists.rs
@@ -7,11 +7,15 @@
 const ENDPOINTS: usize = 10_000;
 
 fn idle_entries() -> Vec<Value> {
+    idle_entries_of(ENDPOINTS)
+}
+
+fn idle_entries_of(count: usize) -> Vec<Value> {
     let entry = |number: usize| {
         let address = format!("127.9.{}.{}:5000", number / 250, 1 + number % 250).parse().unwrap();
         ready_instance(&format!("endpoint-{number}"), address, 100 + number as u64)
     };
-    (0..ENDPOINTS).map(entry).collect()
+    (0..count).map(entry).collect()
 }
 
 fn indented(text: &str, spaces: usize) -> String {
@@ -85,3 +89,32 @@
     assert_eq!(sender.submit("order", "m", 7, 16_000, b"x"), 202);
     endpoint.wait_for_message("m", 1);
 }
+
+/// Guards against large lists that arrive beside one another and take the memory of one list several times.
+#[test]
+fn lists_that_arrive_beside_one_another_share_the_memory_of_one() {
+    const MEMORY_MB: u64 = 48;
+    let discovery = Discovery::new(json!([]));
+    let sender = SenderProcess::start_with(PROGRAM, &discovery, json!([]), |config| {
+        config["limits"]["memory_mb"] = json!(MEMORY_MB);
+    });
+    let memory_before = sender.anonymous_memory();
+    let body = json!({"generation": 8, "reset": true, "instances": idle_entries_of(15_000)}).to_string();
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+    let second = Discovery::new(json!([]));
+    let (server, begun) = (second.server.clone(), body[..body.len() * 2 / 3].to_string());
+    second.server.prepend_script(move |request| {
+        let (server, connection, begun) = (server.clone(), request.connection, begun.clone());
+        // The connection's socket takes the rest only as far as the sender reads it.
+        std::thread::spawn(move || server.write_to(connection, &begun));
+        request.start_line.starts_with("GET /v1/servers ").then(|| Reply::Bytes(head.clone()))
+    });
+    let mut config = sender.config.clone();
+    config["discovery"] = json!(second.server.address.to_string());
+    sender.reload(&config.to_string());
+    second.server.wait_until("several requests for the list", |requests| requests.len() >= 5);
+    std::thread::sleep(Duration::from_millis(500));
+    let growth = sender.anonymous_memory().saturating_sub(memory_before);
+    // The memory of one list, and of five small parts of it; two thirds of a list take some 2.3 MB.
+    assert!(growth < MEMORY_MB * 1_000_000 / 8 * 13 / 8, "{growth} bytes");
+}
