Shorter watches in small fleets at a slow discovery, and never give up its oldest answer

What callers would see: where answers are 3.75 to 4.25 s late, the second of two changes in quick succession came after more than 6 s, also for three senders, for which shorter watches cost discovery little. Answers over 6 s late to an agent's requests for the full list were never read. Cause: the shortest wait was 2 s for any fleet; and for a seventh request the oldest was abandoned, whose answer was the next to come. Change: the shortest wait follows the size of the fleet (1.25 to 2 s); a middle request makes room. Over 5.5 s no wait is short enough, and watches are of the usual length.

--- a/crates/serve/nickelshed/src/discovery/requests.rs
+++ b/crates/serve/nickelshed/src/discovery/requests.rs
@@ -347,13 +347,17 @@
             return wait;
         }
         let left = MAX_UPDATE_DELAY.saturating_sub(delay + PROCESSING_TIME + ANSWER_SLACK);
-        wait.min(left.max(RequestSchedule::SHORTEST_WATCH_WAIT))
+        if left.is_zero() {
+            // No wait is short enough; more requests would only replace one another.
+            return wait;
+        }
+        wait.min(left.max(self.schedule.shortest_watch_wait()))
     }
 
     /// Adds a request, which needs no other one beside it for `cover`.
     fn register(&mut self, now: Instant, kind: RequestKind, cover: Duration) -> Request {
         if self.outstanding.len() >= MAX_OUTSTANDING {
-            self.abandon_oldest(now);
+            self.abandon_one(now);
         }
         let id = self.next_id;
         self.next_id += 1;
@@ -368,9 +372,11 @@
         Some(self.outstanding.remove(position))
     }
 
-    /// Makes room for another request. Keeps a list that is arriving.
-    fn abandon_oldest(&mut self, now: Instant) {
-        let position = self.outstanding.iter().position(|request| request.covers_until <= now).unwrap_or(0);
+    /// Makes room for another request. Keeps the oldest one, whose answer is due first, and a list that is arriving.
+    fn abandon_one(&mut self, now: Instant) {
+        let mut candidates = self.outstanding.iter().enumerate().skip(1);
+        let overdue = candidates.find(|(_, request)| request.covers_until <= now);
+        let position = overdue.map_or(self.outstanding.len() - 1, |(position, _)| position);
         self.abandoned.push(self.outstanding.remove(position).id);
     }
 
--- a/crates/serve/nickelshed/src/discovery/requests/tests.rs
+++ b/crates/serve/nickelshed/src/discovery/requests/tests.rs
@@ -221,11 +221,32 @@
     }
 }
 
+/// Guards against requests that are abandoned for others before their answers come.
+#[test]
+fn answers_that_are_up_to_ten_seconds_late_are_read() {
+    for (mode, senders) in MODES.into_iter().flat_map(|m| [3, 20, 43, 300].map(|s| (m, s))) {
+        for delay_ms in (0..=9_900).step_by(150) {
+            let change = ms(20_000);
+            let model =
+                DiscoveryModel { answer_delay: ms(delay_ms), ..DiscoveryModel::with_changes(&[change]) };
+            for asks_for_list in [false, true] {
+                let outcome = run(&model, mode, senders, delay_ms, asks_for_list);
+                let took = longest(&outcome.update_delays(&model));
+                assert!(took < ms(20_000), "{mode:?}, {senders} senders, {delay_ms} ms late: {took:?}");
+            }
+        }
+    }
+}
+
 /// Guards against a change that discovery's answer to the change before it just missed.
 #[test]
 fn changes_in_quick_succession_are_known_in_six_seconds_from_a_slow_discovery() {
-    for (mode, senders) in MODES.into_iter().flat_map(|m| [3, 300].map(|s| (m, s))) {
-        for delay in [700, 2_000, 2_600, 2_900, 3_500].map(ms) {
+    let delays = [700, 2_000, 2_600, 2_900, 3_500, 3_700, 4_200].map(ms);
+    let fleets = [3, 11, 20, 300].into_iter().flat_map(|senders| MODES.map(|mode| (mode, senders)));
+    for (mode, senders) in fleets {
+        // A large fleet asks a shared discovery less often.
+        let latest = if mode == DiscoveryMode::Shared && senders > 20 { ms(3_700) } else { ms(4_200) };
+        for delay in delays.into_iter().filter(|delay| *delay <= latest) {
             for seed in 1..=40 {
                 let mut random = fastrand::Rng::with_seed(seed);
                 let first = ms(20_000 + random.u64(0..8_000));
--- a/crates/serve/nickelshed/src/discovery/schedule.rs
+++ b/crates/serve/nickelshed/src/discovery/schedule.rs
@@ -44,6 +44,10 @@
 /// The shortest wait of a watch that replaces one without an answer at a shared discovery. Waits are drawn at
 /// random, so that the watches of the fleet do not stay aligned while discovery is silent.
 const MIN_REPLACEMENT_WAIT: Duration = Duration::from_millis(3_500);
+/// Bounds of the shortest wait of a watch at a discovery whose answers are late, which depends on the size of the
+/// fleet. With shorter waits than the first one, watches would be abandoned for others before their answers come.
+const MIN_SLOW_WATCH_WAIT: Duration = Duration::from_millis(1_250);
+const MAX_SLOW_WATCH_WAIT: Duration = Duration::from_millis(2_000);
 /// The full list is requested again if it has not begun to arrive within this time, which depends on the size
 /// of the fleet: a request that an overloaded discovery still holds is not to be doubled.
 const MIN_FULL_LIST_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -81,9 +85,6 @@
         RequestSchedule { mode, polling_cycle, failures: 0, random: fastrand::Rng::with_seed(seed) }
     }
 
-    /// The shortest wait of a watch at a discovery whose answers are late.
-    pub const SHORTEST_WATCH_WAIT: Duration = Duration::from_secs(2);
-
     pub fn mode(&self) -> DiscoveryMode {
         self.mode
     }
@@ -107,6 +108,12 @@
         }
     }
 
+    /// The shortest wait of a watch at a discovery whose answers are late. A large fleet would overload it with
+    /// shorter ones.
+    pub fn shortest_watch_wait(&self) -> Duration {
+        self.polling_cycle.clamp(MIN_SLOW_WATCH_WAIT, MAX_SLOW_WATCH_WAIT)
+    }
+
     fn replacement_wait(&mut self) -> Duration {
         MIN_REPLACEMENT_WAIT + (WATCH_WAIT - MIN_REPLACEMENT_WAIT).mul_f64(self.random.f64())
     }
